--- /dev/null
+++ b/crates/plankhead-core/src/desk.rs
@@ -0,0 +1,448 @@
+//! The desk for users: takes jobs in, tells their state and cancels them,
+//! straight in the state service and on any node.
+
+use crate::budget::Bucket;
+use crate::job::{JobId, JobRecord, JobSpec, Phase};
+use crate::ledger::tasks_per_chunk;
+use crate::node::{Out, Purpose, Times};
+use crate::protocol::{
+    Answer, Ask, CallError, Change, Condition, Progress, Rig, Row, StateOp, StateReply, Status,
+};
+use crate::settings::Settings;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Requests under way at most; more are refused at once.
+const MOST_ERRANDS: usize = 250;
+/// Final states kept in memory; others are read again.
+const MOST_FINALS: usize = 50_000;
+/// Transactions with new jobs under way at most.
+const MOST_BATCHES: usize = 4;
+/// How long a new job may wait for the write budget.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// While the state service fails, one request in this time tries it.
+const PROBE: Duration = Duration::from_millis(200);
+/// Attempts to cancel against a job that changes meanwhile.
+const MOST_ATTEMPTS: u32 = 6;
+/// Room left below the limit of 64 KiB for a transaction.
+const TXN_BYTES: usize = 56 * 1024;
+const RETRY: Duration = Duration::from_secs(1);
+
+/// What a call to the state service is for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Errand {
+    Create(Vec<Create>),
+    Look { ask: Ask, id: JobId, why: Why },
+    Cancel { ask: Ask, id: JobId, record: Box<JobRecord>, attempts: u32 },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Why {
+    Poll,
+    /// A repeated submission, or one whose commit is in doubt.
+    Repeat,
+    /// If the job is not known, this is the answer.
+    Refuse(Answer),
+    Abort {
+        attempts: u32,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Create {
+    asks: Vec<Ask>,
+    id: JobId,
+    value: String,
+    since: Duration,
+}
+
+#[derive(Debug)]
+pub struct Desk {
+    settings: Arc<Settings>,
+    waiting: VecDeque<Create>,
+    batches: usize,
+    errands: usize,
+    reads: Bucket,
+    writes: Bucket,
+    finals: HashMap<JobId, (Status, u32)>,
+    finals_order: VecDeque<JobId>,
+    seen: HashMap<JobId, (u32, u32)>,
+    failing: bool,
+    probed: Duration,
+}
+
+impl Desk {
+    pub fn new(settings: Arc<Settings>) -> Self {
+        let nodes = settings.nodes.max(1) as f64;
+        Self {
+            waiting: VecDeque::new(),
+            batches: 0,
+            errands: 0,
+            // The leader's own calls need the rest.
+            reads: Bucket::new(settings.state_rps * 0.7 / nodes, settings.state_rps * 0.5 / nodes),
+            writes: Bucket::new(settings.write_rps * 0.4 / nodes, settings.write_rps / nodes),
+            settings,
+            finals: HashMap::new(),
+            finals_order: VecDeque::new(),
+            seen: HashMap::new(),
+            failing: false,
+            probed: Duration::ZERO,
+        }
+    }
+
+    /// Remembers that a job is over; this never changes.
+    pub fn over(&mut self, id: &JobId, status: Status, done: u32) {
+        self.seen.remove(id);
+        if self.finals.insert(id.clone(), (status, done)).is_none() {
+            self.finals_order.push_back(id.clone());
+        }
+        while self.finals_order.len() > MOST_FINALS {
+            if let Some(oldest) = self.finals_order.pop_front() {
+                self.finals.remove(&oldest);
+            }
+        }
+    }
+
+    pub fn is_over(&self, id: &JobId) -> bool {
+        self.finals.contains_key(id)
+    }
+
+    pub fn progress(&mut self, progress: &[Progress]) {
+        self.seen.clear();
+        for p in progress {
+            if let Ok(id) = JobId::parse(&p.id) {
+                self.seen.insert(id, (p.done, p.running));
+            }
+        }
+    }
+
+    fn unavailable(ask: Ask, out: &mut Out) {
+        out.answer(ask, Answer::Unavailable { retry: RETRY });
+    }
+
+    /// Whether one more request may go to the state service; if not, it has
+    /// been refused at once.
+    fn admit(&mut self, now: Duration, ask: Ask, out: &mut Out) -> bool {
+        let probe = !self.failing || now.saturating_sub(self.probed) >= PROBE;
+        if !probe || self.errands >= MOST_ERRANDS {
+            Self::unavailable(ask, out);
+            return false;
+        }
+        self.probed = now;
+        true
+    }
+
+    fn look(&mut self, now: Duration, ask: Ask, id: JobId, why: Why, out: &mut Out) {
+        if !self.reads.take(now, 1) {
+            return Self::unavailable(ask, out);
+        }
+        self.errands += 1;
+        let key = id.key();
+        out.state(Purpose::Desk(Errand::Look { ask, id, why }), StateOp::Get { key });
+    }
+
+    fn known(&self, ask: Ask, id: &JobId, out: &mut Out) -> bool {
+        let Some((status, done)) = self.finals.get(id) else { return false };
+        let answer = Answer::Job { fresh: false, id: id.clone(), status: *status, done: *done, running: 0 };
+        out.answer(ask, answer);
+        true
+    }
+
+    pub fn submit(
+        &mut self,
+        times: Times,
+        ask: Ask,
+        id: JobId,
+        job: Result<JobSpec, String>,
+        rigs: &BTreeMap<String, Rig>,
+        out: &mut Out,
+    ) {
+        if self.known(ask, &id, out) || !self.admit(times.now, ask, out) {
+            return;
+        }
+        // A known id is answered before the body is judged.
+        let spec = match job {
+            Ok(spec) => spec,
+            Err(reason) => {
+                return self.look(times.now, ask, id, Why::Refuse(Answer::Malformed(reason)), out);
+            }
+        };
+        if rigs.is_empty() {
+            let later = Answer::Unavailable { retry: RETRY };
+            return self.look(times.now, ask, id, Why::Refuse(later), out);
+        }
+        if let Some(reason) = self.impossible(&spec, rigs) {
+            return self.look(times.now, ask, id, Why::Refuse(Answer::Impossible(reason)), out);
+        }
+        if let Some(same) = self.waiting.iter_mut().find(|c| c.id == id) {
+            same.asks.push(ask);
+            return;
+        }
+        let record = JobRecord {
+            phase: Phase::Live,
+            tasks: spec.tasks,
+            per_chunk: tasks_per_chunk(self.settings.value_bytes),
+            spec: Some(spec),
+            accepted_ms: times.wall_ms(),
+            cancelled_ms: None,
+        };
+        match serde_json::to_string(&record) {
+            Ok(value) if value.len() + 200 <= self.settings.value_bytes => {
+                self.errands += 1;
+                self.waiting.push_back(Create { asks: vec![ask], id, value, since: times.now });
+            }
+            _ => {
+                let answer = Answer::Malformed("the job's description is too long".into());
+                self.look(times.now, ask, id, Why::Refuse(answer), out);
+            }
+        }
+    }
+
+    fn impossible(&self, spec: &JobSpec, rigs: &BTreeMap<String, Rig>) -> Option<String> {
+        let Some(team) = self.settings.teams.get(&spec.team) else {
+            return Some("no such team".into());
+        };
+        if spec.each.cpus > team.cpus_max + 1e-9 || spec.each.gpus > team.gpus_max + 1e-9 {
+            return Some("one task needs more than the team's limit".into());
+        }
+        let allowed = |r: &&Rig| spec.rigs.as_ref().is_none_or(|list| list.contains(&r.label));
+        let holds = |r: &Rig| {
+            let room = crate::job::Resources { cpus: r.cpus, gpus: r.gpus, ram: r.ram };
+            spec.each.fits(&room) && spec.zone.as_ref().is_none_or(|z| r.zones.contains(z))
+        };
+        if !rigs.values().filter(allowed).any(holds) {
+            return Some("no allowed machine type can hold a task".into());
+        }
+        None
+    }
+
+    pub fn poll(&mut self, now: Duration, ask: Ask, id: JobId, out: &mut Out) {
+        if !self.known(ask, &id, out) && self.admit(now, ask, out) {
+            self.look(now, ask, id, Why::Poll, out);
+        }
+    }
+
+    pub fn abort(&mut self, now: Duration, ask: Ask, id: JobId, out: &mut Out) {
+        if !self.known(ask, &id, out) && self.admit(now, ask, out) {
+            self.look(now, ask, id, Why::Abort { attempts: 0 }, out);
+        }
+    }
+
+    /// Sends what waits, as far as the write budget goes, and refuses what has
+    /// waited too long.
+    pub fn tick(&mut self, times: Times, out: &mut Out) {
+        let now = times.now;
+        while self.waiting.front().is_some_and(|c| now.saturating_sub(c.since) > PATIENCE) {
+            if let Some(create) = self.waiting.pop_front() {
+                self.errands = self.errands.saturating_sub(1);
+                for ask in create.asks {
+                    Self::unavailable(ask, out);
+                }
+            }
+        }
+        while !self.waiting.is_empty() && self.batches < MOST_BATCHES {
+            let most = self.settings.txn_ops.min(self.writes.available(now));
+            let mut bytes = 0;
+            let mut batch = Vec::new();
+            while let Some(create) = self.waiting.front() {
+                bytes += create.value.len() + 300;
+                if batch.len() >= most || bytes > TXN_BYTES {
+                    break;
+                }
+                batch.extend(self.waiting.pop_front());
+            }
+            if batch.is_empty() || !self.writes.take(now, batch.len()) {
+                self.waiting.extend(batch);
+                return;
+            }
+            self.batches += 1;
+            let conditions = batch.iter().map(|c| Condition { key: c.id.key(), stamp: 0 }).collect();
+            let changes = batch
+                .iter()
+                .map(|c| Change::Write { key: c.id.key(), value: c.value.clone(), hold: None })
+                .collect();
+            out.state(Purpose::Desk(Errand::Create(batch)), StateOp::Txn { conditions, changes });
+        }
+    }
+
+    /// Handles a reply; returns job rows that are news to a leader here.
+    pub fn reply(
+        &mut self,
+        times: Times,
+        errand: Errand,
+        reply: Result<StateReply, CallError>,
+        progress: &dyn Fn(&JobId) -> Option<(u32, u32)>,
+        out: &mut Out,
+    ) -> Vec<Row> {
+        self.failing = reply.is_err();
+        let now = times.now;
+        match errand {
+            Errand::Create(batch) => {
+                self.batches -= 1;
+                self.errands = self.errands.saturating_sub(batch.len());
+                self.created(now, batch, reply, out)
+            }
+            Errand::Look { ask, id, why } => {
+                self.errands -= 1;
+                self.looked(times, ask, id, why, reply, progress, out);
+                Vec::new()
+            }
+            Errand::Cancel { ask, id, record, attempts } => {
+                self.errands -= 1;
+                self.cancelled(now, ask, id, *record, attempts, reply, out)
+            }
+        }
+    }
+
+    fn created(
+        &mut self,
+        now: Duration,
+        batch: Vec<Create>,
+        reply: Result<StateReply, CallError>,
+        out: &mut Out,
+    ) -> Vec<Row> {
+        let mut news = Vec::new();
+        match reply {
+            Ok(StateReply::Committed { epoch }) => {
+                for create in batch {
+                    for ask in create.asks {
+                        out.answer(
+                            ask,
+                            Answer::Job {
+                                fresh: true,
+                                id: create.id.clone(),
+                                status: Status::Queued,
+                                done: 0,
+                                running: 0,
+                            },
+                        );
+                    }
+                    news.push(Row { key: create.id.key(), value: create.value, stamp: epoch });
+                }
+            }
+            Ok(StateReply::Conflict { failed }) => {
+                for create in batch {
+                    if failed.contains(&create.id.key()) {
+                        for ask in create.asks {
+                            self.look(now, ask, create.id.clone(), Why::Repeat, out);
+                        }
+                    } else {
+                        self.errands += 1;
+                        self.waiting.push_front(create);
+                    }
+                }
+            }
+            Err(CallError::Refused) => {
+                for ask in batch.into_iter().flat_map(|c| c.asks) {
+                    Self::unavailable(ask, out);
+                }
+            }
+            // The commit may have happened: only the key can tell.
+            _ => {
+                for create in batch {
+                    for ask in create.asks {
+                        self.look(now, ask, create.id.clone(), Why::Repeat, out);
+                    }
+                }
+            }
+        }
+        news
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn looked(
+        &mut self,
+        times: Times,
+        ask: Ask,
+        id: JobId,
+        why: Why,
+        reply: Result<StateReply, CallError>,
+        progress: &dyn Fn(&JobId) -> Option<(u32, u32)>,
+        out: &mut Out,
+    ) {
+        let row = match reply {
+            Ok(StateReply::Got(row)) => row,
+            _ => return Self::unavailable(ask, out),
+        };
+        let Some(row) = row else {
+            return match why {
+                Why::Poll | Why::Abort { .. } => out.answer(ask, Answer::NotFound),
+                Why::Repeat => Self::unavailable(ask, out),
+                Why::Refuse(answer) => out.answer(ask, answer),
+            };
+        };
+        let Ok(record) = serde_json::from_str::<JobRecord>(&row.value) else {
+            return Self::unavailable(ask, out);
+        };
+        match record.phase {
+            Phase::Done => self.over(&id, Status::Done, record.tasks),
+            Phase::Cancelled => self.over(&id, Status::Cancelled, 0),
+            Phase::Live => {
+                if let Why::Abort { attempts } = why {
+                    return self.cancel(times, ask, id, record, row.stamp, attempts, out);
+                }
+                let known = progress(&id).or_else(|| self.seen.get(&id).copied());
+                let (done, running) = known.unwrap_or_default();
+                let status = Status::of(Phase::Live, running);
+                return out.answer(ask, Answer::Job { fresh: false, id, status, done, running });
+            }
+        }
+        self.known(ask, &id, out);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn cancel(
+        &mut self,
+        times: Times,
+        ask: Ask,
+        id: JobId,
+        mut record: JobRecord,
+        stamp: u64,
+        attempts: u32,
+        out: &mut Out,
+    ) {
+        if attempts >= MOST_ATTEMPTS || !self.writes.take(times.now, 1) {
+            return Self::unavailable(ask, out);
+        }
+        record.phase = Phase::Cancelled;
+        record.cancelled_ms = Some(times.wall_ms());
+        let Ok(value) = serde_json::to_string(&record) else {
+            return Self::unavailable(ask, out);
+        };
+        self.errands += 1;
+        let key = id.key();
+        out.state(
+            Purpose::Desk(Errand::Cancel { ask, id, record: Box::new(record), attempts }),
+            StateOp::Txn {
+                conditions: vec![Condition { key: key.clone(), stamp }],
+                changes: vec![Change::Write { key, value, hold: None }],
+            },
+        );
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn cancelled(
+        &mut self,
+        now: Duration,
+        ask: Ask,
+        id: JobId,
+        record: JobRecord,
+        attempts: u32,
+        reply: Result<StateReply, CallError>,
+        out: &mut Out,
+    ) -> Vec<Row> {
+        match reply {
+            Ok(StateReply::Committed { epoch }) => {
+                self.over(&id, Status::Cancelled, 0);
+                self.known(ask, &id, out);
+                let Ok(value) = serde_json::to_string(&record) else { return Vec::new() };
+                return vec![Row { key: id.key(), value, stamp: epoch }];
+            }
+            Err(CallError::Refused) => Self::unavailable(ask, out),
+            // Changed meanwhile, or in doubt: look again and go on from there.
+            _ => self.look(now, ask, id, Why::Abort { attempts: attempts + 1 }, out),
+        }
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/election.rs
@@ -0,0 +1,244 @@
+//! Who leads: the node that wrote the key `lead` under its grant. The revision
+//! of that write is the token, `baton`.
+
+use crate::node::{Out, Purpose};
+use crate::protocol::{CallError, Change, Condition, KeyEvent, Level, Row, StateOp, StateReply};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+pub const KEY: &str = "lead";
+/// How long the key outlives its leader.
+pub const LIFE: Duration = Duration::from_millis(2500);
+/// How often the leader renews its grant.
+const TOUCH: Duration = Duration::from_millis(600);
+/// How long a follower's watch waits before it is opened anew.
+const WATCH: Duration = Duration::from_secs(3);
+/// The pause after a failed attempt to read or to write.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// The value of the key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Holder {
+    pub host: String,
+    pub boot: u64,
+    pub hold: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    Read,
+    Watch,
+    Grant,
+    Claim { hold: u64 },
+    Touch { sent: Duration },
+    Revoke,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// The key must be read.
+    Unknown,
+    /// Somebody holds it; we watch.
+    Watching {
+        after: u64,
+    },
+    /// Nobody holds it; we try to.
+    Vacant,
+    Leading {
+        baton: u64,
+        hold: u64,
+    },
+}
+
+/// What the election tells the node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    None,
+    Won { baton: u64 },
+    Lost,
+}
+
+#[derive(Debug)]
+pub struct Election {
+    host: String,
+    boot: u64,
+    stage: Stage,
+    pending: bool,
+    not_before: Duration,
+    /// The last known holder that is not us, with its token.
+    pub foreman: Option<(String, u64)>,
+    touched: Duration,
+    next_touch: Duration,
+    touching: bool,
+}
+
+impl Election {
+    pub fn new(host: String, boot: u64) -> Self {
+        Self {
+            host,
+            boot,
+            stage: Stage::Unknown,
+            pending: false,
+            not_before: Duration::ZERO,
+            foreman: None,
+            touched: Duration::ZERO,
+            next_touch: Duration::ZERO,
+            touching: false,
+        }
+    }
+
+    pub fn baton(&self) -> Option<u64> {
+        match self.stage {
+            Stage::Leading { baton, .. } => Some(baton),
+            _ => None,
+        }
+    }
+
+    /// Whether the grant was renewed lately enough that writes make sense.
+    pub fn firm(&self, now: Duration) -> bool {
+        self.baton().is_some() && now.saturating_sub(self.touched) < LIFE
+    }
+
+    pub fn tick(&mut self, now: Duration, out: &mut Out) {
+        if let Stage::Leading { hold, .. } = self.stage {
+            if !self.touching && now >= self.next_touch {
+                self.touching = true;
+                out.state(Purpose::Election(Step::Touch { sent: now }), StateOp::Touch { hold });
+            }
+            return;
+        }
+        if self.pending || now < self.not_before {
+            return;
+        }
+        self.pending = true;
+        let (step, op) = match self.stage {
+            Stage::Unknown => (Step::Read, StateOp::Get { key: KEY.into() }),
+            Stage::Watching { after } => {
+                (Step::Watch, StateOp::Follow { prefix: KEY.into(), after, wait: WATCH })
+            }
+            _ => (Step::Grant, StateOp::Grant { life: LIFE }),
+        };
+        out.state(Purpose::Election(step), op);
+    }
+
+    pub fn reply(
+        &mut self,
+        now: Duration,
+        step: Step,
+        reply: Result<StateReply, CallError>,
+        out: &mut Out,
+    ) -> Verdict {
+        if let Step::Touch { sent } = step {
+            return self.touched(now, sent, reply);
+        }
+        if step == Step::Revoke {
+            return Verdict::None;
+        }
+        self.pending = false;
+        match (step, reply) {
+            (Step::Read, Ok(StateReply::Got(row))) => return self.read(now, row, out),
+            (Step::Watch, Ok(StateReply::Events { epoch, events })) => {
+                let mut verdict = Verdict::None;
+                for event in events {
+                    match event {
+                        KeyEvent::Written(row) if row.key == KEY => {
+                            verdict = self.read(now, Some(row), out);
+                        }
+                        KeyEvent::Dropped { key, .. } if key == KEY => {
+                            self.stage = Stage::Vacant;
+                        }
+                        _ => {}
+                    }
+                }
+                if let Stage::Watching { after } = &mut self.stage {
+                    *after = (*after).max(epoch);
+                }
+                return verdict;
+            }
+            (Step::Grant, Ok(StateReply::Granted { hold })) => self.claim(hold, out),
+            (Step::Claim { hold }, Ok(StateReply::Committed { epoch })) => {
+                return self.won(now, epoch, hold);
+            }
+            (Step::Claim { hold }, Ok(_)) | (Step::Claim { hold }, Err(CallError::Refused)) => {
+                out.state(Purpose::Election(Step::Revoke), StateOp::Revoke { hold });
+                self.stage = Stage::Unknown;
+            }
+            // A lost claim may have been carried out: the key tells.
+            _ => {
+                self.stage = Stage::Unknown;
+                self.not_before = now + PAUSE;
+            }
+        }
+        Verdict::None
+    }
+
+    fn claim(&mut self, hold: u64, out: &mut Out) {
+        let holder = Holder { host: self.host.clone(), boot: self.boot, hold };
+        let Ok(value) = serde_json::to_string(&holder) else { return };
+        self.pending = true;
+        out.state(
+            Purpose::Election(Step::Claim { hold }),
+            StateOp::Txn {
+                conditions: vec![Condition { key: KEY.into(), stamp: 0 }],
+                changes: vec![Change::Write { key: KEY.into(), value, hold: Some(hold) }],
+            },
+        );
+    }
+
+    fn read(&mut self, now: Duration, row: Option<Row>, out: &mut Out) -> Verdict {
+        let Some(row) = row else {
+            self.stage = Stage::Vacant;
+            return Verdict::None;
+        };
+        let Ok(holder) = serde_json::from_str::<Holder>(&row.value) else {
+            out.log(Level::Error, "the key of the leader holds something strange".into());
+            self.not_before = now + PAUSE;
+            return Verdict::None;
+        };
+        if holder.host == self.host {
+            if holder.boot == self.boot {
+                return self.won(now, row.stamp, holder.hold);
+            }
+            // An earlier life of this process held it; nobody is waiting for
+            // that grant any more.
+            out.state(Purpose::Election(Step::Revoke), StateOp::Revoke { hold: holder.hold });
+        } else {
+            self.foreman = Some((holder.host, row.stamp));
+        }
+        self.stage = Stage::Watching { after: row.stamp };
+        Verdict::None
+    }
+
+    fn won(&mut self, now: Duration, baton: u64, hold: u64) -> Verdict {
+        self.stage = Stage::Leading { baton, hold };
+        self.foreman = None;
+        self.touched = now;
+        self.next_touch = now;
+        self.touching = false;
+        Verdict::Won { baton }
+    }
+
+    fn touched(&mut self, now: Duration, sent: Duration, reply: Result<StateReply, CallError>) -> Verdict {
+        self.touching = false;
+        if self.baton().is_none() {
+            return Verdict::None;
+        }
+        match reply {
+            Ok(StateReply::Touched) => {
+                self.touched = self.touched.max(sent);
+                self.next_touch = now.max(sent + TOUCH);
+            }
+            Ok(StateReply::NoGrant) => return self.lost(),
+            _ => self.next_touch = now + PAUSE,
+        }
+        Verdict::None
+    }
+
+    /// Steps down: the key is somebody else's, or will be.
+    pub fn lost(&mut self) -> Verdict {
+        self.stage = Stage::Unknown;
+        self.pending = false;
+        self.not_before = Duration::ZERO;
+        Verdict::Lost
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/fleet.rs
@@ -0,0 +1,307 @@
+//! The machines: what is rented, what it holds, and what the cloud refused.
+
+use crate::job::Resources;
+use crate::protocol::{HostName, HostStatus, ListedHost, Report, Rig};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A pool is refused for this long before it is asked again.
+const REFUSAL: Duration = Duration::from_secs(12);
+/// What a refusal taught about a pool's size is believed this long.
+const LESSON: Duration = Duration::from_secs(150);
+/// A machine is given this many times its usual boot time.
+const BOOT_PATIENCE: f64 = 2.6;
+/// Names of machines that are gone are remembered up to this number.
+const MOST_GONE: usize = 4_096;
+/// Errors in a row after which a machine is retired.
+const MOST_ERRORS: u32 = 3;
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Pool {
+    pub rig: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Lesson {
+    refused_until: Duration,
+    /// The most machines the pool gave, and when that was learned.
+    limit: Option<(u32, Duration)>,
+}
+
+/// Why a machine goes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Leaving {
+    Surplus,
+    Silent,
+    NeverUp,
+    Failed,
+    Faulty,
+    CancelDue,
+    Unlisted,
+}
+
+#[derive(Debug, Clone)]
+pub struct Machine {
+    pub name: HostName,
+    pub address: Arc<str>,
+    pub pool: Pool,
+    pub since: Duration,
+    /// The newest report's (shift, tick).
+    pub newest: Option<(u64, u64)>,
+    pub report: Option<Report>,
+    /// When it last reported, or when we began to wait for it.
+    pub heard: Duration,
+    pub notice: bool,
+    pub listed: bool,
+    /// Lists in a row that lacked it after it had been listed.
+    pub unlisted: u32,
+    pub images: VecDeque<Arc<str>>,
+    pub errors: u32,
+    pub leaving: Option<Leaving>,
+    /// No starts before this time, since the worker refused one for room.
+    pub full_until: Duration,
+    /// A direct command is on its way.
+    pub busy: bool,
+    /// Direct `run` commands that may still be carried out, with their shift.
+    pub haunted: Vec<(crate::protocol::TaskId, u64, u64)>,
+    /// When it was last without any task.
+    pub idle_since: Option<Duration>,
+}
+
+impl Machine {
+    pub fn shift(&self) -> Option<u64> {
+        self.newest.map(|(shift, _)| shift)
+    }
+
+    pub fn up(&self) -> bool {
+        self.newest.is_some() && self.leaving.is_none()
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub rigs: BTreeMap<String, Rig>,
+    pub machines: BTreeMap<HostName, Machine>,
+    gone: BTreeSet<HostName>,
+    gone_order: VecDeque<HostName>,
+    lessons: HashMap<Pool, Lesson>,
+}
+
+impl Fleet {
+    pub fn resources(&self, rig: &str) -> Option<Resources> {
+        let rig = self.rigs.get(rig)?;
+        Some(Resources { cpus: rig.cpus, gpus: rig.gpus, ram: rig.ram })
+    }
+
+    fn insert(
+        &mut self,
+        name: &HostName,
+        address: Arc<str>,
+        pool: Pool,
+        since: Duration,
+        now: Duration,
+    ) -> &mut Machine {
+        self.machines.entry(name.clone()).or_insert_with(|| Machine {
+            name: name.clone(),
+            address,
+            pool,
+            since,
+            newest: None,
+            report: None,
+            heard: now,
+            notice: false,
+            listed: false,
+            unlisted: 0,
+            images: VecDeque::new(),
+            errors: 0,
+            leaving: None,
+            full_until: Duration::ZERO,
+            busy: false,
+            haunted: Vec::new(),
+            idle_since: None,
+        })
+    }
+
+    /// A machine that attempts are on, although nobody has told of it yet.
+    pub fn expect(&mut self, host: &HostName, now: Duration) {
+        let pool = Pool { rig: String::new(), zone: String::new(), spot: false };
+        if !self.gone.contains(host) {
+            self.insert(host, "".into(), pool, now, now).listed = true;
+        }
+    }
+
+    pub fn is_gone(&self, host: &HostName) -> bool {
+        self.gone.contains(host)
+    }
+
+    /// Takes in a report; false if it is older than one seen, or if its machine
+    /// is known to be gone.
+    pub fn observe(&mut self, report: &Report, now: Duration) -> bool {
+        if self.gone.contains(&report.host) {
+            return false;
+        }
+        let pool = Pool { rig: report.rig.clone(), zone: report.zone.clone(), spot: report.spot };
+        let machine = self.insert(&report.host, report.address.clone(), pool, now, now);
+        if machine.newest.is_some_and(|newest| (report.shift, report.tick) <= newest) {
+            return false;
+        }
+        if machine.shift() != Some(report.shift) {
+            // Orders of an earlier session are refused from now on.
+            machine.haunted.retain(|(_, _, shift)| *shift >= report.shift);
+            machine.images.clear();
+        }
+        machine.newest = Some((report.shift, report.tick));
+        machine.pool = Pool { rig: report.rig.clone(), zone: report.zone.clone(), spot: report.spot };
+        machine.address = report.address.clone();
+        machine.heard = now;
+        machine.notice |= report.warning.is_some();
+        machine.report = Some(report.clone());
+        true
+    }
+
+    pub fn hired(&mut self, names: &[HostName], pool: &Pool, asked: u32, now: Duration) {
+        for name in names.iter().filter(|n| !self.gone.contains(*n)).cloned().collect::<Vec<_>>() {
+            self.insert(&name, "".into(), pool.clone(), now, now);
+        }
+        if (names.len() as u32) < asked {
+            self.refused(pool, now);
+        }
+    }
+
+    pub fn refused(&mut self, pool: &Pool, now: Duration) {
+        let held = self.held(pool);
+        let lesson = self.lessons.entry(pool.clone()).or_default();
+        lesson.refused_until = now + REFUSAL;
+        lesson.limit = Some((held, now));
+    }
+
+    fn held(&self, pool: &Pool) -> u32 {
+        self.machines.values().filter(|m| m.pool == *pool).count() as u32
+    }
+
+    pub fn open(&self, pool: &Pool, now: Duration) -> bool {
+        self.lessons.get(pool).is_none_or(|l| l.refused_until <= now)
+    }
+
+    /// The machines of this type that the cloud is known to have at most, if
+    /// every pool of the type has refused lately.
+    pub fn learned(&self, rig: &str, now: Duration) -> Option<u32> {
+        let mut sum = 0;
+        for pool in self.pools(rig) {
+            let (limit, at) = self.lessons.get(&pool)?.limit?;
+            if now.saturating_sub(at) > LESSON {
+                return None;
+            }
+            sum += limit.max(self.held(&pool));
+        }
+        Some(sum)
+    }
+
+    pub fn pools(&self, rig: &str) -> Vec<Pool> {
+        let Some(found) = self.rigs.get(rig) else { return Vec::new() };
+        let both =
+            |zone: &String| [true, false].map(|spot| Pool { rig: rig.to_string(), zone: zone.clone(), spot });
+        found.zones.iter().flat_map(both).collect()
+    }
+
+    /// Machines of the type that are not on their way out.
+    pub fn count(&self, rig: &str) -> u32 {
+        self.machines.values().filter(|m| m.pool.rig == rig && m.leaving.is_none() && !m.notice).count()
+            as u32
+    }
+
+    pub fn held_by_zone(&self, pool: &Pool) -> u32 {
+        self.machines.values().filter(|m| m.pool == *pool && m.leaving.is_none()).count() as u32
+    }
+
+    /// Takes in a whole machine list; it may be old, so absence only makes
+    /// suspicious. Returns failed machines.
+    pub fn listed(&mut self, hosts: &[ListedHost], now: Duration) {
+        let mut names = BTreeSet::new();
+        for host in hosts {
+            names.insert(host.host.clone());
+            if self.gone.contains(&host.host) {
+                continue;
+            }
+            let pool = Pool { rig: host.rig.clone(), zone: host.zone.clone(), spot: host.spot };
+            let since = now.saturating_sub(host.held);
+            let machine = self.insert(&host.host, host.address.clone(), pool, since, now);
+            machine.since = since;
+            machine.pool = Pool { rig: host.rig.clone(), zone: host.zone.clone(), spot: host.spot };
+            machine.listed = true;
+            machine.unlisted = 0;
+            if machine.address.is_empty() {
+                machine.address = host.address.clone();
+            }
+            if host.status == HostStatus::Failed {
+                machine.leaving.get_or_insert(Leaving::Failed);
+            }
+        }
+        for machine in self.machines.values_mut() {
+            if machine.listed && !names.contains(&machine.name) {
+                machine.unlisted += 1;
+            }
+        }
+    }
+
+    /// Marks machines that must go: silent ones, ones that never came up, ones
+    /// that fail everything. `silent` is the longest accepted silence.
+    pub fn judge(&mut self, now: Duration, silent: Duration) -> Vec<(HostName, Leaving)> {
+        let mut leaving = Vec::new();
+        for machine in self.machines.values_mut().filter(|m| m.leaving.is_none()) {
+            let quiet = now.saturating_sub(machine.heard);
+            let boot = self.rigs.get(&machine.pool.rig).map_or(Duration::from_secs(60), |r| r.boot);
+            let reason = if machine.newest.is_none() {
+                let patience = boot.mul_f64(BOOT_PATIENCE);
+                (now.saturating_sub(machine.since) > patience && quiet > silent).then_some(Leaving::NeverUp)
+            } else if quiet > silent {
+                Some(Leaving::Silent)
+            } else if machine.unlisted >= 2 && quiet > silent / 2 {
+                Some(Leaving::Unlisted)
+            } else if machine.errors >= MOST_ERRORS {
+                Some(Leaving::Faulty)
+            } else {
+                None
+            };
+            if let Some(reason) = reason {
+                machine.leaving = Some(reason);
+                leaving.push((machine.name.clone(), reason));
+            }
+        }
+        leaving
+    }
+
+    /// The cloud confirmed the release.
+    pub fn released(&mut self, name: &HostName) {
+        self.machines.remove(name);
+        if self.gone.insert(name.clone()) {
+            self.gone_order.push_back(name.clone());
+        }
+        while self.gone_order.len() > MOST_GONE {
+            if let Some(oldest) = self.gone_order.pop_front() {
+                self.gone.remove(&oldest);
+            }
+        }
+    }
+
+    /// Remembers that the machine has the image or fetches it.
+    pub fn imaged(&mut self, host: &str, image: &Arc<str>, gb: f64, sizes: &HashMap<Arc<str>, f64>) {
+        let Some(machine) = self.machines.get_mut(host) else { return };
+        let cache = self.rigs.get(&machine.pool.rig).map_or(0.0, |r| r.cache_gb);
+        machine.images.retain(|i| i != image);
+        machine.images.push_front(image.clone());
+        let mut sum = gb;
+        let mut kept = 1;
+        for other in machine.images.iter().skip(1) {
+            sum += sizes.get(other).copied().unwrap_or(0.0);
+            if sum > cache {
+                break;
+            }
+            kept += 1;
+        }
+        machine.images.truncate(kept);
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/job.rs
@@ -0,0 +1,203 @@
+//! Jobs as their users describe them and as the state service keeps them.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// The largest number of tasks in one job.
+pub const MOST_TASKS: u32 = 100_000;
+/// The longest text that a field of a job may hold.
+const MOST_TEXT: usize = 200;
+/// The largest amount of anything that a field may name.
+const MOST_AMOUNT: f64 = 1e9;
+
+/// A job's id, `job-` and something, fit to be part of a key.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct JobId(Arc<str>);
+
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("nameId must be job- followed by letters, digits, '-', '_' or '.'")]
+pub struct BadId;
+
+impl JobId {
+    pub fn parse(text: &str) -> Result<Self, BadId> {
+        let rest = text.strip_prefix("job-").ok_or(BadId)?;
+        let fit = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if rest.is_empty() || text.len() > 100 || !rest.chars().all(fit) {
+            return Err(BadId);
+        }
+        Ok(Self(text.into()))
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// The key of the job's record.
+    pub fn key(&self) -> String {
+        format!("job/{}", self.0)
+    }
+
+    /// The key of one chunk of the job's placements.
+    pub fn chunk_key(&self, chunk: u32) -> String {
+        format!("run/{}/{chunk}", self.0)
+    }
+}
+
+impl TryFrom<String> for JobId {
+    type Error = BadId;
+    fn try_from(text: String) -> Result<Self, BadId> {
+        Self::parse(&text)
+    }
+}
+
+impl From<JobId> for String {
+    fn from(id: JobId) -> Self {
+        id.0.to_string()
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// How urgent a job is; the greater, the sooner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Urgency {
+    Idle,
+    Standard,
+    Urgent,
+    Critical,
+}
+
+/// An amount of a machine's resources.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Resources {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub ram: f64,
+}
+
+/// Room for the rounding errors of sums of decimal amounts.
+const EPS: f64 = 1e-6;
+
+impl Resources {
+    pub fn fits(&self, room: &Resources) -> bool {
+        self.cpus <= room.cpus + EPS && self.gpus <= room.gpus + EPS && self.ram <= room.ram + EPS
+    }
+
+    pub fn add(&mut self, other: &Resources) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.ram += other.ram;
+    }
+
+    pub fn sub(&mut self, other: &Resources) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.ram -= other.ram;
+    }
+}
+
+/// What a user asks for. Only arrays exist so far, so the shape is not kept.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub class: String,
+    pub team: String,
+    pub urgency: Urgency,
+    pub tasks: u32,
+    pub each: Resources,
+    pub image: String,
+    pub image_gb: f64,
+    pub rigs: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub scatter: bool,
+    pub spot: bool,
+    /// Seconds that a task should run, by its owner.
+    pub estimate: f64,
+    /// Seconds between checkpoints; 0: never saves.
+    pub checkpoint: f64,
+    /// Seconds that saving takes.
+    pub save: f64,
+    /// Seconds from submission to the deadline.
+    pub due: Option<f64>,
+}
+
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("{0}")]
+pub struct BadSpec(pub &'static str);
+
+impl JobSpec {
+    /// Checks ranges; types are checked where the job is parsed.
+    pub fn check(&self) -> Result<(), BadSpec> {
+        let amount = |x: f64| x.is_finite() && (0.0..=MOST_AMOUNT).contains(&x);
+        let text = |s: &str| !s.is_empty() && s.len() <= MOST_TEXT;
+        let e = &self.each;
+        if self.tasks == 0 || self.tasks > MOST_TASKS {
+            return Err(BadSpec("pieces must be from 1 to 100000"));
+        }
+        if ![e.cpus, e.gpus, e.ram, self.image_gb, self.estimate, self.checkpoint, self.save]
+            .into_iter()
+            .all(amount)
+        {
+            return Err(BadSpec("amounts must be finite, not negative and not over 1e9"));
+        }
+        if self.due.is_some_and(|d| !amount(d)) {
+            return Err(BadSpec("dueS must be finite, not negative and not over 1e9"));
+        }
+        if !text(&self.class) || !text(&self.team) || !text(&self.image) {
+            return Err(BadSpec("lane, crew and bundle must have 1 to 200 bytes"));
+        }
+        if self.zone.as_deref().is_some_and(|z| !text(z)) {
+            return Err(BadSpec("yard must have 1 to 200 bytes"));
+        }
+        if let Some(rigs) = &self.rigs {
+            if rigs.is_empty() || rigs.len() > 64 || !rigs.iter().all(|r| text(r)) {
+                return Err(BadSpec("rigs must be null or name 1 to 64 types"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// How far a job has come, as the state service knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    Live,
+    Done,
+    Cancelled,
+}
+
+/// The value of a `job/<id>` key. Final records keep the specification of a
+/// cancelled job only, for as long as its tasks may be somewhere.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub phase: Phase,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<JobSpec>,
+    /// Tasks in the job.
+    #[serde(default)]
+    pub tasks: u32,
+    /// Tasks in each chunk of its placements.
+    #[serde(default)]
+    pub per_chunk: u32,
+    /// Wall time of the submission, in milliseconds since 1970.
+    #[serde(default)]
+    pub accepted_ms: u64,
+    /// Wall time of the cancellation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cancelled_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/plankhead-core/src/ledger.rs
@@ -0,0 +1,611 @@
+//! The ledger of attempts: what was placed where, and the evidence that an
+//! attempt is over.
+//!
+//! A task has at most one attempt that is not proven gone. Proof is one of
+//! three: the worker listed the attempt as ended, the worker reported a later
+//! shift, or the cloud confirmed the release of the machine. That a report does
+//! not list an attempt proves nothing, and neither does time.
+
+use crate::job::{JobId, JobRecord, JobSpec, Phase};
+use crate::protocol::{Cause, HostName, Report, Seen, TaskId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Attempt {
+    pub number: u64,
+    pub host: HostName,
+    /// The worker's session in which alone the attempt can run.
+    pub shift: u64,
+    pub zone: Arc<str>,
+    /// The chunk version that must be durable before `run` may be sent.
+    pub version: u64,
+    pub seen: Option<Seen>,
+    pub placed: Duration,
+    pub running: Option<Duration>,
+    /// Stopped for the sake of other work or of its machine.
+    pub stop: bool,
+    /// `run` was sent straight to the worker, once.
+    pub told: bool,
+    /// `kill` was sent straight to the worker, once.
+    pub kill_told: bool,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum TaskState {
+    Idle,
+    Placed(Attempt),
+    Done,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Task {
+    /// The highest attempt number given out.
+    pub tried: u64,
+    /// The chunk version that holds the end of the latest ended attempt.
+    pub end_version: u64,
+    pub state: TaskState,
+}
+
+/// A part of a job's tasks, kept in one key.
+#[derive(Debug, Clone, Default)]
+pub struct Chunk {
+    pub stamp: u64,
+    pub version: u64,
+    pub durable: u64,
+    pub tasks: BTreeMap<u32, Task>,
+    pub writing: bool,
+    /// A write was lost or refused: the stamp must be read again.
+    pub stale: bool,
+    /// Since when ends wait to be written.
+    pub ends_since: Option<Duration>,
+    /// A placement waits to be written.
+    pub placing: bool,
+}
+
+#[derive(Debug, Clone)]
+pub struct Entry {
+    pub spec: Arc<JobSpec>,
+    pub phase: Phase,
+    pub stamp: u64,
+    pub accepted: Duration,
+    pub cancelled: Option<Duration>,
+    pub per_chunk: u32,
+    pub chunks: BTreeMap<u32, Chunk>,
+    /// Tasks from here on were never placed.
+    pub fresh: u32,
+    /// Tasks whose last attempt is proven gone.
+    pub again: BTreeSet<u32>,
+    pub done: u32,
+    /// Attempts not proven gone.
+    pub placed: u32,
+    /// Attempts that were last seen running.
+    pub running: u32,
+    pub zones: BTreeMap<Arc<str>, u32>,
+    /// Errors in a row, and the machines they came from.
+    pub errors: u32,
+    pub error_hosts: BTreeSet<HostName>,
+    pub not_before: Duration,
+    /// The final record is being written.
+    pub finishing: bool,
+    /// The job's key must be read again before anything is written for it.
+    pub stale: bool,
+    pub first_start: Option<Duration>,
+    pub told_late: bool,
+}
+
+impl Entry {
+    /// Tasks that could be placed now.
+    pub fn pending(&self) -> u32 {
+        self.spec.tasks - self.fresh + self.again.len() as u32
+    }
+
+    pub fn unfinished(&self) -> u32 {
+        self.spec.tasks - self.done
+    }
+}
+
+/// What became of an attempt in a report.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ended {
+    pub task: TaskId,
+    pub attempt: u64,
+    /// None: the attempt is gone without the worker having said how.
+    pub cause: Option<Cause>,
+    /// How long it ran, where both ends were seen.
+    pub ran: Option<Duration>,
+    pub stopped: bool,
+}
+
+#[derive(Debug, Error)]
+pub enum BadChunk {
+    #[error("not a chunk: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("a task or host out of range")]
+    Range,
+}
+
+/// The value of a `run/<id>/<n>` key.
+#[derive(Debug, Serialize, Deserialize)]
+struct ChunkText {
+    /// Machines as (name, shift, zone).
+    h: Vec<(String, u64, String)>,
+    /// Tasks as (index, tried, place in `h` or -1).
+    t: Vec<(u32, u64, i32)>,
+    /// Done tasks, as first and last of each run of them.
+    d: Vec<(u32, u32)>,
+}
+
+/// Tasks in one chunk such that the worst case fits into a value.
+pub fn tasks_per_chunk(value_bytes: usize) -> u32 {
+    (value_bytes / 80).clamp(8, 400) as u32
+}
+
+#[derive(Debug, Default)]
+pub struct Ledger {
+    pub jobs: BTreeMap<JobId, Entry>,
+    on_host: HashMap<HostName, BTreeSet<TaskId>>,
+    /// Chunks with changes that are not durable.
+    pub dirty: BTreeSet<(JobId, u32)>,
+    /// Jobs all of whose tasks have ended, one way or the other.
+    pub closing: BTreeSet<JobId>,
+}
+
+impl Ledger {
+    /// Takes in a job's record. `accepted` and `cancelled` are on our clock.
+    pub fn upsert(
+        &mut self,
+        id: &JobId,
+        record: JobRecord,
+        stamp: u64,
+        accepted: Duration,
+        cancelled: Option<Duration>,
+        per_chunk: u32,
+    ) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            if stamp < entry.stamp {
+                return;
+            }
+            entry.stamp = stamp;
+            entry.stale = false;
+            if record.phase == Phase::Cancelled && entry.phase == Phase::Live {
+                entry.phase = Phase::Cancelled;
+                entry.cancelled = cancelled;
+                self.settle(id);
+            }
+            return;
+        }
+        let Some(spec) = record.spec else { return };
+        self.jobs.insert(
+            id.clone(),
+            Entry {
+                spec: Arc::new(spec),
+                phase: record.phase,
+                stamp,
+                accepted,
+                cancelled,
+                per_chunk,
+                chunks: BTreeMap::new(),
+                fresh: 0,
+                again: BTreeSet::new(),
+                done: 0,
+                placed: 0,
+                running: 0,
+                zones: BTreeMap::new(),
+                errors: 0,
+                error_hosts: BTreeSet::new(),
+                not_before: Duration::ZERO,
+                finishing: false,
+                stale: false,
+                first_start: None,
+                told_late: false,
+            },
+        );
+        self.settle(id);
+    }
+
+    /// Notes whether nothing of the job is left to run or to wait for, and lets
+    /// go of placements of a cancelled job that no worker was ever told of.
+    fn settle(&mut self, id: &JobId) {
+        let Some(entry) = self.jobs.get(id) else { return };
+        if entry.phase == Phase::Cancelled {
+            let untold: Vec<u32> = entry
+                .chunks
+                .values()
+                .flat_map(|c| c.tasks.iter().map(move |(i, t)| (c, *i, t)))
+                .filter(|(c, _, t)| matches!(&t.state, TaskState::Placed(a) if a.version > c.durable))
+                .map(|(_, i, _)| i)
+                .collect();
+            for index in untold {
+                self.end(&TaskId { job: id.clone(), index }, false);
+            }
+        }
+        let Some(entry) = self.jobs.get(id) else { return };
+        let over = match entry.phase {
+            Phase::Live => entry.done == entry.spec.tasks,
+            _ => entry.placed == 0,
+        };
+        if over {
+            self.closing.insert(id.clone());
+        }
+    }
+
+    /// Reads a chunk back. Only for jobs whose record is known.
+    pub fn load_chunk(
+        &mut self,
+        id: &JobId,
+        number: u32,
+        value: &str,
+        stamp: u64,
+        now: Duration,
+    ) -> Result<(), BadChunk> {
+        let text: ChunkText = serde_json::from_str(value)?;
+        let Some(entry) = self.jobs.get_mut(id) else { return Ok(()) };
+        let tasks = entry.spec.tasks;
+        let mut chunk = Chunk { stamp, ..Chunk::default() };
+        for (first, last) in text.d {
+            if first > last || last >= tasks {
+                return Err(BadChunk::Range);
+            }
+            for index in first..=last {
+                chunk.tasks.insert(index, Task { tried: 0, end_version: 0, state: TaskState::Done });
+            }
+        }
+        for (index, tried, place) in text.t {
+            let state = match usize::try_from(place) {
+                Err(_) => TaskState::Idle,
+                Ok(place) => {
+                    let (host, shift, zone) = text.h.get(place).ok_or(BadChunk::Range)?;
+                    TaskState::Placed(Attempt {
+                        number: tried,
+                        host: host.as_str().into(),
+                        shift: *shift,
+                        zone: zone.as_str().into(),
+                        version: 0,
+                        seen: None,
+                        placed: now,
+                        running: None,
+                        stop: false,
+                        told: false,
+                        kill_told: false,
+                    })
+                }
+            };
+            if index >= tasks || chunk.tasks.contains_key(&index) {
+                return Err(BadChunk::Range);
+            }
+            chunk.tasks.insert(index, Task { tried, end_version: 0, state });
+        }
+        for (index, task) in &chunk.tasks {
+            match &task.state {
+                TaskState::Idle => {
+                    entry.again.insert(*index);
+                }
+                TaskState::Done => entry.done += 1,
+                TaskState::Placed(attempt) => {
+                    entry.placed += 1;
+                    *entry.zones.entry(attempt.zone.clone()).or_default() += 1;
+                    self.on_host
+                        .entry(attempt.host.clone())
+                        .or_default()
+                        .insert(TaskId { job: id.clone(), index: *index });
+                }
+            }
+        }
+        entry.chunks.insert(number, chunk);
+        Ok(())
+    }
+
+    /// After every chunk is read: tasks below the highest placed one that were
+    /// never placed, and jobs that are over.
+    pub fn loaded(&mut self) {
+        for entry in self.jobs.values_mut() {
+            let known: BTreeSet<u32> = entry.chunks.values().flat_map(|c| c.tasks.keys().copied()).collect();
+            entry.fresh = known.last().map_or(0, |last| last + 1);
+            let gaps: Vec<u32> = (0..entry.fresh).filter(|i| !known.contains(i)).collect();
+            entry.again.extend(gaps);
+        }
+        for id in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            self.settle(&id);
+        }
+    }
+
+    /// Gives the job's next pending task to a machine. The placement must be
+    /// durable before the worker hears of it.
+    pub fn place(
+        &mut self,
+        id: &JobId,
+        host: &HostName,
+        shift: u64,
+        zone: &Arc<str>,
+        now: Duration,
+    ) -> Option<TaskId> {
+        let entry = self.jobs.get_mut(id)?;
+        if entry.phase != Phase::Live || entry.pending() == 0 {
+            return None;
+        }
+        let index = entry.again.pop_first().unwrap_or_else(|| {
+            entry.fresh += 1;
+            entry.fresh - 1
+        });
+        let number = index / entry.per_chunk;
+        let chunk = entry.chunks.entry(number).or_default();
+        chunk.version += 1;
+        chunk.placing = true;
+        let task =
+            chunk.tasks.entry(index).or_insert(Task { tried: 0, end_version: 0, state: TaskState::Idle });
+        task.tried += 1;
+        task.state = TaskState::Placed(Attempt {
+            number: task.tried,
+            host: host.clone(),
+            shift,
+            zone: zone.clone(),
+            version: chunk.version,
+            seen: None,
+            placed: now,
+            running: None,
+            stop: false,
+            told: false,
+            kill_told: false,
+        });
+        entry.placed += 1;
+        *entry.zones.entry(zone.clone()).or_default() += 1;
+        let id = TaskId { job: id.clone(), index };
+        self.dirty.insert((id.job.clone(), number));
+        self.on_host.entry(host.clone()).or_default().insert(id.clone());
+        Some(id)
+    }
+
+    pub fn attempt(&self, id: &TaskId) -> Option<&Attempt> {
+        let entry = self.jobs.get(&id.job)?;
+        match &entry.chunks.get(&(id.index / entry.per_chunk))?.tasks.get(&id.index)?.state {
+            TaskState::Placed(attempt) => Some(attempt),
+            _ => None,
+        }
+    }
+
+    pub fn attempt_mut(&mut self, id: &TaskId) -> Option<&mut Attempt> {
+        let entry = self.jobs.get_mut(&id.job)?;
+        let chunk = entry.chunks.get_mut(&(id.index / entry.per_chunk))?;
+        match &mut chunk.tasks.get_mut(&id.index)?.state {
+            TaskState::Placed(attempt) => Some(attempt),
+            _ => None,
+        }
+    }
+
+    /// Whether the placement of the task's attempt is durable.
+    pub fn written(&self, id: &TaskId) -> bool {
+        let Some(entry) = self.jobs.get(&id.job) else { return false };
+        let Some(chunk) = entry.chunks.get(&(id.index / entry.per_chunk)) else { return false };
+        match chunk.tasks.get(&id.index).map(|t| &t.state) {
+            Some(TaskState::Placed(attempt)) => attempt.version <= chunk.durable,
+            _ => false,
+        }
+    }
+
+    pub fn stop(&mut self, id: &TaskId) {
+        if let Some(attempt) = self.attempt_mut(id) {
+            attempt.stop = true;
+        }
+    }
+
+    /// The attempts on a machine that are not proven gone.
+    pub fn on_host(&self, host: &str) -> impl Iterator<Item = &TaskId> {
+        self.on_host.get(host).into_iter().flatten()
+    }
+
+    /// Whether an ended attempt may be forgotten by its worker: its end must be
+    /// durable, since a later leader would take it for a live one.
+    pub fn may_reap(&self, id: &TaskId, number: u64) -> bool {
+        let Some(entry) = self.jobs.get(&id.job) else { return false };
+        let Some(chunk) = entry.chunks.get(&(id.index / entry.per_chunk)) else { return false };
+        let Some(task) = chunk.tasks.get(&id.index) else { return false };
+        let current = matches!(&task.state, TaskState::Placed(a) if a.number == number);
+        !current && chunk.durable >= task.end_version && entry.phase == Phase::Live
+    }
+
+    /// Ends the task's attempt on evidence.
+    fn end(&mut self, id: &TaskId, done: bool) {
+        let Some(entry) = self.jobs.get_mut(&id.job) else { return };
+        let number = id.index / entry.per_chunk;
+        let Some(chunk) = entry.chunks.get_mut(&number) else { return };
+        let Some(task) = chunk.tasks.get_mut(&id.index) else { return };
+        let TaskState::Placed(attempt) = &task.state else { return };
+        if let Some(tasks) = self.on_host.get_mut(&attempt.host) {
+            tasks.remove(id);
+            if tasks.is_empty() {
+                self.on_host.remove(&attempt.host);
+            }
+        }
+        entry.placed -= 1;
+        if attempt.seen == Some(Seen::Running) {
+            entry.running -= 1;
+        }
+        if let Some(count) = entry.zones.get_mut(&attempt.zone) {
+            *count -= 1;
+            if *count == 0 {
+                let zone = attempt.zone.clone();
+                entry.zones.remove(&zone);
+            }
+        }
+        chunk.version += 1;
+        task.end_version = chunk.version;
+        if done {
+            task.state = TaskState::Done;
+            entry.done += 1;
+        } else {
+            task.state = TaskState::Idle;
+            entry.again.insert(id.index);
+        }
+        self.dirty.insert((id.job.clone(), number));
+    }
+
+    /// Takes in a worker's report, newer than any seen of this worker.
+    pub fn observe(&mut self, report: &Report, now: Duration) -> Vec<Ended> {
+        let here: Vec<TaskId> = self.on_host(&report.host).cloned().collect();
+        let listed: HashMap<(&TaskId, u64), Seen> =
+            report.tasks.iter().map(|l| ((&l.task, l.attempt), l.seen)).collect();
+        let mut ended = Vec::new();
+        for id in here {
+            let Some(attempt) = self.attempt(&id) else { continue };
+            let number = attempt.number;
+            let (stopped, running) = (attempt.stop, attempt.running);
+            let finish = |cause, ran| Ended { task: id.clone(), attempt: number, cause, ran, stopped };
+            if attempt.shift < report.shift {
+                ended.push(finish(None, None));
+                self.end(&id, false);
+                self.note_end(&id, now);
+                continue;
+            }
+            if attempt.shift > report.shift {
+                continue;
+            }
+            match listed.get(&(&id, number)) {
+                None => {}
+                Some(Seen::Ended(cause)) => {
+                    let ran = running.map(|at| now.saturating_sub(at));
+                    ended.push(finish(Some(*cause), ran));
+                    self.end(&id, *cause == Cause::Done);
+                    self.note_end(&id, now);
+                }
+                Some(seen) => self.saw(&id, *seen, now),
+            }
+        }
+        ended
+    }
+
+    fn saw(&mut self, id: &TaskId, seen: Seen, now: Duration) {
+        let Some(attempt) = self.attempt_mut(id) else { return };
+        let before = attempt.seen.replace(seen);
+        if seen == Seen::Running && attempt.running.is_none() {
+            attempt.running = Some(now);
+        }
+        let Some(entry) = self.jobs.get_mut(&id.job) else { return };
+        match (before == Some(Seen::Running), seen == Seen::Running) {
+            (false, true) => {
+                entry.running += 1;
+                entry.first_start.get_or_insert(now);
+            }
+            (true, false) => entry.running -= 1,
+            _ => {}
+        }
+    }
+
+    fn note_end(&mut self, id: &TaskId, now: Duration) {
+        if let Some(entry) = self.jobs.get_mut(&id.job) {
+            if let Some(chunk) = entry.chunks.get_mut(&(id.index / entry.per_chunk)) {
+                chunk.ends_since.get_or_insert(now);
+            }
+        }
+        self.settle(&id.job);
+    }
+
+    /// The cloud confirmed that the machine is gone, and all on it.
+    pub fn host_gone(&mut self, host: &str, now: Duration) -> usize {
+        let here: Vec<TaskId> = self.on_host(host).cloned().collect();
+        for id in &here {
+            self.end(id, false);
+            self.note_end(id, now);
+        }
+        here.len()
+    }
+
+    /// A chunk's value, and the version that it holds.
+    pub fn encode(&self, id: &JobId, number: u32) -> Option<(String, u64)> {
+        let chunk = self.jobs.get(id)?.chunks.get(&number)?;
+        let mut text = ChunkText { h: Vec::new(), t: Vec::new(), d: Vec::new() };
+        let mut places: HashMap<(&str, u64), i32> = HashMap::new();
+        for (index, task) in &chunk.tasks {
+            match &task.state {
+                TaskState::Done => match text.d.last_mut() {
+                    Some((_, last)) if *last + 1 == *index => *last = *index,
+                    _ => text.d.push((*index, *index)),
+                },
+                TaskState::Idle => text.t.push((*index, task.tried, -1)),
+                TaskState::Placed(attempt) => {
+                    let place = *places.entry((&attempt.host, attempt.shift)).or_insert_with(|| {
+                        text.h.push((attempt.host.to_string(), attempt.shift, attempt.zone.to_string()));
+                        text.h.len() as i32 - 1
+                    });
+                    text.t.push((*index, task.tried, place));
+                }
+            }
+        }
+        Some((serde_json::to_string(&text).ok()?, chunk.version))
+    }
+
+    /// A chunk's write is durable. Returns the machines that have news.
+    pub fn committed(&mut self, id: &JobId, number: u32, version: u64, stamp: u64) -> BTreeSet<HostName> {
+        let mut hosts = BTreeSet::new();
+        let Some(entry) = self.jobs.get_mut(id) else { return hosts };
+        let Some(chunk) = entry.chunks.get_mut(&number) else { return hosts };
+        let before = chunk.durable;
+        chunk.writing = false;
+        chunk.stamp = stamp;
+        chunk.durable = chunk.durable.max(version);
+        if chunk.durable == chunk.version {
+            chunk.placing = false;
+            chunk.ends_since = None;
+            self.dirty.remove(&(id.clone(), number));
+        }
+        for task in chunk.tasks.values() {
+            if let TaskState::Placed(a) = &task.state {
+                if a.version > before && a.version <= chunk.durable {
+                    hosts.insert(a.host.clone());
+                }
+            }
+        }
+        hosts
+    }
+
+    /// The stamp that a chunk's key has now, after a write in doubt.
+    pub fn restamp(&mut self, id: &JobId, number: u32, stamp: u64) {
+        if let Some(chunk) = self.jobs.get_mut(id).and_then(|e| e.chunks.get_mut(&number)) {
+            chunk.stale = false;
+            chunk.stamp = stamp;
+        }
+    }
+
+    /// Every machine with attempts not proven gone.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostName> {
+        self.on_host.keys()
+    }
+
+    /// A job's attempts not proven gone.
+    pub fn placements<'a>(&self, entry: &'a Entry) -> impl Iterator<Item = &'a Attempt> + 'a {
+        entry.chunks.values().flat_map(|c| c.tasks.values()).filter_map(|t| match &t.state {
+            TaskState::Placed(attempt) => Some(attempt),
+            _ => None,
+        })
+    }
+
+    /// A chunk's write failed or its reply was lost.
+    pub fn write_failed(&mut self, id: &JobId, number: u32, stale: bool) {
+        if let Some(chunk) = self.jobs.get_mut(id).and_then(|e| e.chunks.get_mut(&number)) {
+            chunk.writing = false;
+            chunk.stale |= stale;
+        }
+    }
+
+    /// Forgets a job that is over in the state service, too.
+    pub fn remove(&mut self, id: &JobId) -> Option<Entry> {
+        self.closing.remove(id);
+        let entry = self.jobs.remove(id)?;
+        for number in entry.chunks.keys() {
+            self.dirty.remove(&(id.clone(), *number));
+        }
+        for tasks in entry.chunks.values().map(|c| &c.tasks) {
+            for (index, task) in tasks {
+                if let TaskState::Placed(a) = &task.state {
+                    if let Some(here) = self.on_host.get_mut(&a.host) {
+                        here.remove(&TaskId { job: id.clone(), index: *index });
+                    }
+                }
+            }
+        }
+        Some(entry)
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/lib.rs
@@ -0,0 +1,20 @@
+//! The scheduling core of plankhead: every decision, and no input or output.
+//!
+//! [`node::Node::step`] takes a batch of events and the time, and returns the
+//! effects that the adapters carry out. The same events at the same times give
+//! the same effects.
+
+pub mod budget;
+pub mod desk;
+pub mod easy;
+pub mod election;
+pub mod fleet;
+pub mod job;
+pub mod leader;
+pub mod ledger;
+pub mod node;
+pub mod protocol;
+pub mod queue;
+pub mod replay;
+pub mod settings;
+pub mod sizing;
--- /dev/null
+++ b/crates/plankhead-core/src/node.rs
@@ -0,0 +1,332 @@
+//! One controller node: the desk for users, the election, and the leader's role
+//! while it has it.
+
+use crate::desk::{Desk, Errand};
+use crate::election::{self, Election, Verdict};
+use crate::job::JobId;
+use crate::leader::{Deed, Leader};
+use crate::protocol::{
+    Answer, Ask, Call, CallError, CloudOp, CloudReply, Effect, Event, Level, Order, Progress, Pulse, Report,
+    Rig, StateOp, StateReply,
+};
+use crate::settings::Settings;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+/// How often siblings hear from a node.
+const PULSE: Duration = Duration::from_secs(1);
+/// A sibling not heard of for this long says nothing any more.
+const PULSE_LIFE: Duration = Duration::from_secs(3);
+/// The state service must have failed a node for this long before the node
+/// sends its users elsewhere.
+const REFUSED: Duration = Duration::from_secs(3);
+/// Pause between attempts to read the catalog, and between refreshes.
+const CATALOG_RETRY: Duration = Duration::from_secs(1);
+const CATALOG_AGE: Duration = Duration::from_secs(300);
+/// Jobs whose progress one pulse tells.
+const MOST_PROGRESS: usize = 300;
+
+/// What a call was for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Purpose {
+    Election(election::Step),
+    Desk(Errand),
+    /// Under a token, so that replies to an earlier term are ignored.
+    Leader(u64, Deed),
+    Catalog,
+}
+
+/// Collects effects and remembers what replies are for.
+#[derive(Debug, Default)]
+pub struct Out {
+    pub effects: Vec<Effect>,
+    calls: HashMap<Call, Purpose>,
+    last: Call,
+}
+
+impl Out {
+    fn call(&mut self, purpose: Purpose) -> Call {
+        self.last += 1;
+        self.calls.insert(self.last, purpose);
+        self.last
+    }
+
+    pub fn state(&mut self, purpose: Purpose, op: StateOp) {
+        let call = self.call(purpose);
+        self.effects.push(Effect::State { call, op });
+    }
+
+    pub fn cloud(&mut self, purpose: Purpose, op: CloudOp) {
+        let call = self.call(purpose);
+        self.effects.push(Effect::Cloud { call, op });
+    }
+
+    pub fn orders(
+        &mut self,
+        purpose: Purpose,
+        address: Arc<str>,
+        baton: u64,
+        shift: u64,
+        orders: Vec<Order>,
+    ) {
+        let call = self.call(purpose);
+        self.effects.push(Effect::Orders { call, address, baton, shift, orders });
+    }
+
+    pub fn answer(&mut self, ask: Ask, answer: Answer) {
+        self.effects.push(Effect::Answer { ask, answer });
+    }
+
+    pub fn log(&mut self, level: Level, text: String) {
+        self.effects.push(Effect::Log(level, text));
+    }
+}
+
+/// The times at which a batch is handled: the steady clock and the time of day.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// On a clock that starts well above zero.
+    pub now: Duration,
+    pub wall: SystemTime,
+}
+
+impl Times {
+    pub fn wall_ms(&self) -> u64 {
+        let since = self.wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        since.as_millis() as u64
+    }
+
+    /// When that time of day was, on the steady clock.
+    pub fn at_wall(&self, ms: u64) -> Duration {
+        let wall = self.wall_ms();
+        if ms >= wall {
+            self.now
+        } else {
+            self.now.saturating_sub(Duration::from_millis(wall - ms))
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Node {
+    settings: Arc<Settings>,
+    out: Out,
+    desk: Desk,
+    election: Election,
+    leader: Option<Leader>,
+    rigs: BTreeMap<String, Rig>,
+    catalog_due: Duration,
+    catalog_asked: bool,
+    pulse_due: Duration,
+    siblings: HashMap<String, (Duration, Pulse)>,
+    /// Since when the state service has failed every call.
+    state_bad: Option<Duration>,
+}
+
+impl Node {
+    pub fn new(settings: Settings) -> Self {
+        let settings = Arc::new(settings);
+        Self {
+            desk: Desk::new(settings.clone()),
+            election: Election::new(settings.host.clone(), settings.boot),
+            settings,
+            out: Out::default(),
+            leader: None,
+            rigs: BTreeMap::new(),
+            catalog_due: Duration::ZERO,
+            catalog_asked: false,
+            pulse_due: Duration::ZERO,
+            siblings: HashMap::new(),
+            state_bad: None,
+        }
+    }
+
+    /// Whether users should be sent here. A node that the state service alone
+    /// refuses sends them to its siblings; when it fails all, nobody does.
+    pub fn healthy(&self, now: Duration) -> bool {
+        let refused = self.state_bad.is_some_and(|since| now.saturating_sub(since) > REFUSED);
+        let better =
+            self.siblings.values().any(|(at, pulse)| now.saturating_sub(*at) < PULSE_LIFE && pulse.state_ok);
+        !(refused && better)
+    }
+
+    pub fn step(&mut self, times: Times, batch: Vec<Event>) -> Vec<Effect> {
+        for event in batch {
+            self.handle(times, event);
+        }
+        self.tick(times);
+        std::mem::take(&mut self.out.effects)
+    }
+
+    fn handle(&mut self, times: Times, event: Event) {
+        let now = times.now;
+        match event {
+            Event::Submit { ask, id, job } => {
+                self.desk.submit(times, ask, id, job, &self.rigs, &mut self.out);
+            }
+            Event::Poll { ask, id } => self.desk.poll(now, ask, id, &mut self.out),
+            Event::Abort { ask, id } => self.desk.abort(now, ask, id, &mut self.out),
+            Event::Beat { ask, report } => {
+                let answer = self.beat(times, report);
+                self.out.answer(ask, answer);
+            }
+            Event::State { call, reply } => {
+                match &reply {
+                    Ok(_) => self.state_bad = None,
+                    Err(_) => {
+                        self.state_bad.get_or_insert(now);
+                    }
+                }
+                match self.out.calls.remove(&call) {
+                    Some(Purpose::Election(step)) => {
+                        let verdict = self.election.reply(now, step, reply, &mut self.out);
+                        self.verdict(times, verdict);
+                    }
+                    Some(Purpose::Desk(errand)) => self.errand(times, errand, reply),
+                    Some(Purpose::Leader(baton, deed)) => {
+                        if let Some(leader) = self.leader.as_mut().filter(|l| l.baton == baton) {
+                            if !leader.state_reply(times, deed, reply, &mut self.desk, &mut self.out) {
+                                let verdict = self.election.lost();
+                                self.verdict(times, verdict);
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            Event::Cloud { call, reply } => match self.out.calls.remove(&call) {
+                Some(Purpose::Catalog) => self.catalog(now, reply),
+                Some(Purpose::Leader(baton, deed)) => {
+                    if let Some(leader) = self.leader.as_mut().filter(|l| l.baton == baton) {
+                        leader.cloud_reply(times, deed, reply, &mut self.out);
+                    }
+                }
+                _ => {}
+            },
+            Event::Orders { call, reply } => {
+                if let Some(Purpose::Leader(baton, deed)) = self.out.calls.remove(&call) {
+                    if let Some(leader) = self.leader.as_mut().filter(|l| l.baton == baton) {
+                        leader.orders_reply(times, deed, reply, &self.desk, &mut self.out);
+                    }
+                }
+            }
+            Event::Pulse(pulse) => self.pulse(now, pulse),
+            Event::View { ask } => {
+                let view = self.view(times);
+                self.out.answer(ask, Answer::View(view));
+            }
+        }
+    }
+
+    fn errand(&mut self, times: Times, errand: Errand, reply: Result<StateReply, CallError>) {
+        let leader = self.leader.as_ref();
+        let progress = |id: &JobId| leader.and_then(|l| l.progress(id));
+        let news = self.desk.reply(times, errand, reply, &progress, &mut self.out);
+        if let Some(leader) = &mut self.leader {
+            for row in news {
+                leader.job_row(times, &row, &mut self.desk);
+            }
+        }
+    }
+
+    fn verdict(&mut self, times: Times, verdict: Verdict) {
+        match verdict {
+            Verdict::None => {}
+            Verdict::Won { baton } => {
+                self.out.log(Level::Info, format!("leads under token {baton}"));
+                let mut leader = Leader::new(self.settings.clone(), baton, times.now);
+                leader.fleet.rigs = self.rigs.clone();
+                leader.load(times.now, &mut self.out);
+                self.leader = Some(leader);
+            }
+            Verdict::Lost => {
+                self.out.log(Level::Info, "leads no more".into());
+                self.leader = None;
+            }
+        }
+    }
+
+    fn beat(&mut self, times: Times, report: Report) -> Answer {
+        if let Some(leader) = &mut self.leader {
+            if report.baton <= leader.baton {
+                return leader.beat(times, report, &self.desk, &mut self.out);
+            }
+            // A worker has seen a later token than ours.
+            let verdict = self.election.lost();
+            self.verdict(times, verdict);
+            return Answer::Elsewhere { foreman: None };
+        }
+        let foreman = self.election.foreman.as_ref();
+        let foreman = foreman.filter(|(_, baton)| *baton >= report.baton).map(|(host, _)| host.clone());
+        Answer::Elsewhere { foreman }
+    }
+
+    fn catalog(&mut self, now: Duration, reply: Result<CloudReply, CallError>) {
+        self.catalog_asked = false;
+        match reply {
+            Ok(CloudReply::Catalog(rigs)) if !rigs.is_empty() => {
+                self.rigs = rigs.into_iter().map(|r| (r.label.clone(), r)).collect();
+                self.catalog_due = now + CATALOG_AGE;
+                if let Some(leader) = &mut self.leader {
+                    leader.fleet.rigs = self.rigs.clone();
+                }
+            }
+            _ => self.catalog_due = now + CATALOG_RETRY,
+        }
+    }
+
+    fn pulse(&mut self, now: Duration, pulse: Pulse) {
+        if !self.settings.siblings.contains(&pulse.host) {
+            return;
+        }
+        if pulse.baton > 0 {
+            self.desk.progress(&pulse.progress);
+        }
+        self.siblings.insert(pulse.host.clone(), (now, pulse));
+    }
+
+    fn tick(&mut self, times: Times) {
+        let now = times.now;
+        self.election.tick(now, &mut self.out);
+        if now >= self.catalog_due && !self.catalog_asked {
+            self.catalog_asked = true;
+            self.out.cloud(Purpose::Catalog, CloudOp::Catalog);
+        }
+        self.desk.tick(times, &mut self.out);
+        if let Some(leader) = &mut self.leader {
+            leader.tick(times, self.election.firm(now), &mut self.desk, &mut self.out);
+        }
+        if now >= self.pulse_due {
+            self.pulse_due = now + PULSE;
+            let progress: Vec<Progress> = match &self.leader {
+                Some(leader) => leader.all_progress(MOST_PROGRESS),
+                None => Vec::new(),
+            };
+            self.out.effects.push(Effect::Pulse(Pulse {
+                host: self.settings.host.clone(),
+                state_ok: self.state_bad.is_none(),
+                baton: self.leader.as_ref().map_or(0, |l| l.baton),
+                progress,
+            }));
+        }
+    }
+
+    fn view(&self, times: Times) -> serde_json::Value {
+        let siblings: Vec<_> = self
+            .siblings
+            .values()
+            .map(|(at, p)| {
+                serde_json::json!({"host": p.host, "heardS": times.now.saturating_sub(*at).as_secs_f64(),
+                    "stateOk": p.state_ok, "leads": p.baton > 0})
+            })
+            .collect();
+        serde_json::json!({
+            "host": self.settings.host,
+            "stateOk": self.state_bad.is_none(),
+            "leader": self.leader.as_ref().map(|l| l.view(times)),
+            "foreman": self.election.foreman.as_ref().map(|(host, _)| host),
+            "siblings": siblings,
+        })
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/protocol.rs
@@ -0,0 +1,341 @@
+//! Events that the core takes and effects that it asks for.
+
+use crate::job::{JobId, JobSpec, Phase};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A request that waits for an answer.
+pub type Ask = u64;
+/// A call made to the outside whose reply is awaited.
+pub type Call = u64;
+pub type HostName = Arc<str>;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    Submit {
+        ask: Ask,
+        id: JobId,
+        job: Result<JobSpec, String>,
+    },
+    Poll {
+        ask: Ask,
+        id: JobId,
+    },
+    Abort {
+        ask: Ask,
+        id: JobId,
+    },
+    Beat {
+        ask: Ask,
+        report: Report,
+    },
+    State {
+        call: Call,
+        reply: Result<StateReply, CallError>,
+    },
+    Cloud {
+        call: Call,
+        reply: Result<CloudReply, CallError>,
+    },
+    Orders {
+        call: Call,
+        reply: OrdersReply,
+    },
+    Pulse(Pulse),
+    /// Asks for the operators' view.
+    View {
+        ask: Ask,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    Answer {
+        ask: Ask,
+        answer: Answer,
+    },
+    State {
+        call: Call,
+        op: StateOp,
+    },
+    Cloud {
+        call: Call,
+        op: CloudOp,
+    },
+    Orders {
+        call: Call,
+        address: Arc<str>,
+        baton: u64,
+        shift: u64,
+        orders: Vec<Order>,
+    },
+    /// Tells every sibling.
+    Pulse(Pulse),
+    Log(Level, String),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Level {
+    Error,
+    Info,
+    Debug,
+}
+
+/// What a node tells its siblings about every second.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Pulse {
+    pub host: String,
+    pub state_ok: bool,
+    /// The token under which the sender leads, or 0.
+    pub baton: u64,
+    pub progress: Vec<Progress>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Progress {
+    pub id: String,
+    pub done: u32,
+    pub running: u32,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// 201 or 200 with the job's state.
+    Job {
+        fresh: bool,
+        id: JobId,
+        status: Status,
+        done: u32,
+        running: u32,
+    },
+    Malformed(String),
+    Impossible(String),
+    NotFound,
+    /// 503, with the time after which to try again.
+    Unavailable {
+        retry: Duration,
+    },
+    Beat {
+        baton: u64,
+        orders: Vec<Order>,
+    },
+    /// 421, with the node to report to where it is known.
+    Elsewhere {
+        foreman: Option<String>,
+    },
+    View(serde_json::Value),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    Queued,
+    Running,
+    Done,
+    Cancelled,
+}
+
+impl Status {
+    pub fn of(phase: Phase, running: u32) -> Self {
+        match phase {
+            Phase::Live if running > 0 => Self::Running,
+            Phase::Live => Self::Queued,
+            Phase::Done => Self::Done,
+            Phase::Cancelled => Self::Cancelled,
+        }
+    }
+}
+
+/// One task of one job.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    pub host: HostName,
+    pub address: Arc<str>,
+    pub rig: String,
+    pub zone: String,
+    pub spot: bool,
+    pub shift: u64,
+    pub tick: u64,
+    pub baton: u64,
+    pub warning: Option<Duration>,
+    pub tasks: Vec<Listed>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    pub task: TaskId,
+    pub attempt: u64,
+    pub seen: Seen,
+}
+
+/// What a worker says of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Seen {
+    Pulling,
+    Running,
+    Saving,
+    Ended(Cause),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    Done,
+    Stopped,
+    Error,
+    Full,
+    Busy,
+    Unknown,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order {
+    Run { task: TaskId, attempt: u64 },
+    Kill { task: TaskId, attempt: u64, leeway: Duration },
+    Reap { task: TaskId, attempt: u64 },
+}
+
+/// What came of commands sent straight to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub enum OrdersReply {
+    /// Carried out, or refused as a whole (409): the worker's report.
+    Answered(Report),
+    /// Never left this node.
+    NotSent,
+    /// May be carried out at any later time.
+    Unanswered,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// Certainly not carried out.
+    Refused,
+    /// May have been carried out, or may be later.
+    Lost,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum StateOp {
+    Get { key: String },
+    List { prefix: String, after: Option<String> },
+    Txn { conditions: Vec<Condition>, changes: Vec<Change> },
+    Grant { life: Duration },
+    Touch { hold: u64 },
+    Revoke { hold: u64 },
+    Follow { prefix: String, after: u64, wait: Duration },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Condition {
+    pub key: String,
+    pub stamp: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// The value is JSON text.
+    Write {
+        key: String,
+        value: String,
+        hold: Option<u64>,
+    },
+    Drop {
+        key: String,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    pub key: String,
+    pub value: String,
+    pub stamp: u64,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum StateReply {
+    Got(Option<Row>),
+    Page {
+        rows: Vec<Row>,
+        truncated: bool,
+        epoch: u64,
+    },
+    Committed {
+        epoch: u64,
+    },
+    Conflict {
+        failed: Vec<String>,
+    },
+    /// The grant named by a write or a touch is over.
+    NoGrant,
+    Granted {
+        hold: u64,
+    },
+    Touched,
+    Events {
+        epoch: u64,
+        events: Vec<KeyEvent>,
+    },
+    /// The history asked for is gone; read the keys again.
+    Compacted,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyEvent {
+    Written(Row),
+    Dropped { key: String, stamp: u64 },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudOp {
+    Catalog,
+    List { after: Option<HostName> },
+    Hire { name: String, rig: String, zone: String, spot: bool, count: u32 },
+    Release { hosts: Vec<HostName> },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudReply {
+    Catalog(Vec<Rig>),
+    Page { hosts: Vec<ListedHost>, truncated: bool },
+    Hired(Vec<HostName>),
+    NoCapacity,
+    Released,
+}
+
+/// A machine type.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Rig {
+    pub label: String,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub ram: f64,
+    pub cache_gb: f64,
+    pub pull_gb_per_s: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot: Duration,
+    pub zones: Vec<String>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedHost {
+    pub host: HostName,
+    pub address: Arc<str>,
+    pub rig: String,
+    pub zone: String,
+    pub spot: bool,
+    pub status: HostStatus,
+    pub held: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HostStatus {
+    Booting,
+    Running,
+    Failed,
+}
--- /dev/null
+++ b/crates/plankhead/src/api.rs
@@ -0,0 +1,55 @@
+//! What users, workers and the load balancer ask of a node.
+
+use crate::driver::{Handle, Request as Ask};
+use crate::http::{self, Reply, MOST_REQUEST};
+use crate::wire;
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use plankhead_core::job::JobId;
+
+pub async fn handle(handle: Handle, request: Request<Incoming>) -> Reply {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    match (parts.as_slice(), method) {
+        (["healthz"], Method::GET) => match handle.healthy() {
+            true => Reply { status: 200, body: b"{}".to_vec(), retry: None },
+            false => Reply::error(503, "the state service refuses this node"),
+        },
+        (["work"], Method::POST) => {
+            let body = match http::body(request, MOST_REQUEST).await {
+                Ok(body) => body,
+                Err(reply) => return reply,
+            };
+            match wire::submission(&body) {
+                Ok((id, job)) => handle.ask(Ask::Submit { id, job }).await,
+                Err(reason) => Reply::error(400, &reason),
+            }
+        }
+        (["work", id], Method::GET) => match JobId::parse(id) {
+            Ok(id) => handle.ask(Ask::Poll { id }).await,
+            Err(_) => Reply::error(404, "no such job"),
+        },
+        (["work", id, "abort"], Method::POST) => match JobId::parse(id) {
+            Ok(id) => handle.ask(Ask::Abort { id }).await,
+            Err(_) => Reply::error(404, "no such job"),
+        },
+        (["agent", "beat"], Method::POST) => {
+            let body = match http::body(request, MOST_REQUEST).await {
+                Ok(body) => body,
+                Err(reply) => return reply,
+            };
+            match wire::report(&body) {
+                Ok(report) => handle.ask(Ask::Beat { report }).await,
+                Err(reason) => {
+                    tracing::debug!("a malformed report was dropped: {reason}");
+                    Reply::error(400, &reason)
+                }
+            }
+        }
+        (["healthz" | "work"] | ["work", _] | ["work", _, "abort"] | ["agent", "beat"], _) => {
+            Reply::error(405, "wrong method")
+        }
+        _ => Reply::error(404, "no such path"),
+    }
+}
--- /dev/null
+++ b/crates/plankhead/src/cloud.rs
@@ -0,0 +1,55 @@
+//! The cloud's client.
+
+use crate::http::Client;
+use crate::wire;
+use hyper::{Method, StatusCode};
+use plankhead_core::protocol::{CallError, CloudOp, CloudReply};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Machines in one page of the list, by the protocol.
+const PAGE: usize = 500;
+
+pub async fn call(client: &Client, op: CloudOp) -> Result<CloudReply, CallError> {
+    let (method, path, body) = match &op {
+        CloudOp::Catalog => (Method::GET, "/catalog".into(), Vec::new()),
+        CloudOp::List { after } => {
+            let after = after.as_ref().map(|a| format!("after={a}&")).unwrap_or_default();
+            (Method::GET, format!("/hosts?{after}most={PAGE}"), Vec::new())
+        }
+        CloudOp::Hire { name, rig, zone, spot, count } => {
+            let body = wire::hire(name, rig, zone, *spot, *count).to_string().into_bytes();
+            (Method::POST, "/hosts".into(), body)
+        }
+        CloudOp::Release { hosts } => {
+            let hosts: Vec<&str> = hosts.iter().map(|h| h.as_ref()).collect();
+            let body = serde_json::json!({ "hosts": hosts }).to_string().into_bytes();
+            (Method::POST, "/hosts/release".into(), body)
+        }
+    };
+    let (status, body) = client.call(method, &path, body, PATIENCE).await?;
+    match (&op, status) {
+        (CloudOp::Catalog, StatusCode::OK) => {
+            wire::catalog(&body).map(CloudReply::Catalog).ok_or(CallError::Lost)
+        }
+        (CloudOp::List { .. }, StatusCode::OK) => {
+            let (hosts, truncated) = wire::hosts(&body).ok_or(CallError::Lost)?;
+            Ok(CloudReply::Page { hosts, truncated })
+        }
+        (CloudOp::Hire { .. }, StatusCode::OK) => {
+            let names = wire::hired(&body).ok_or(CallError::Lost)?;
+            Ok(CloudReply::Hired(names.into_iter().map(Into::into).collect()))
+        }
+        (CloudOp::Hire { .. }, StatusCode::SERVICE_UNAVAILABLE) if refused(&body) => {
+            Ok(CloudReply::NoCapacity)
+        }
+        (CloudOp::Release { .. }, StatusCode::OK) => Ok(CloudReply::Released),
+        (_, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => Err(CallError::Refused),
+        _ => Err(CallError::Lost),
+    }
+}
+
+fn refused(body: &[u8]) -> bool {
+    let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+    value.get("error").and_then(|e| e.as_str()) == Some("no capacity")
+}
--- /dev/null
+++ b/crates/plankhead/src/config.rs
@@ -0,0 +1,273 @@
+//! The two settings files: the platform's, of which unknown fields are
+//! ignored, and the operators', which must match its schema.
+
+use plankhead_core::settings::{Expectation, Settings, Sizing, Team};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// The operators' settings as a schema, also for editors.
+pub const SCHEMA: &str = include_str!("../operator.schema.json");
+/// Memory that stays free of user connections.
+const SOCKETS_KEPT: f64 = 0.25;
+
+#[derive(Debug, Clone)]
+pub struct Config {
+    pub api: SocketAddr,
+    pub peer: SocketAddr,
+    pub siblings: Vec<(String, SocketAddr)>,
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+    /// Connections accepted at a time.
+    pub connections: usize,
+    pub core: Settings,
+}
+
+/// The operators' own settings.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(test, derive(schemars::JsonSchema))]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    pub sizing: OperatorSizing,
+}
+
+/// How the fleet's size is found.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(test, derive(schemars::JsonSchema))]
+#[serde(deny_unknown_fields, default)]
+pub struct OperatorSizing {
+    /// S: the largest acceptable average bounded slowdown.
+    #[cfg_attr(test, schemars(range(min = 1.0, max = 1e6)))]
+    pub threshold: f64,
+    /// Seconds between rounds; longer than a machine's boot.
+    #[cfg_attr(test, schemars(range(min = 5.0, max = 86400.0)))]
+    pub interval_s: f64,
+    /// U: machines of one type at most. Without it, what the teams' guarantees
+    /// would fill; either way less once the cloud refuses more.
+    #[cfg_attr(test, schemars(range(min = 1, max = 10000)))]
+    pub capacity: Option<u32>,
+}
+
+impl Default for OperatorSizing {
+    fn default() -> Self {
+        let core = Sizing::default();
+        Self { threshold: core.threshold, interval_s: core.interval.as_secs_f64(), capacity: core.capacity }
+    }
+}
+
+/// Walks the platform's file and collects its faults.
+struct Reader<'a> {
+    faults: &'a mut Vec<String>,
+}
+
+impl Reader<'_> {
+    fn fault(&mut self, path: &str, what: &str) {
+        self.faults.push(format!("settings: {path}: {what}"));
+    }
+
+    fn at<'v>(&mut self, root: &'v Value, path: &str) -> Option<&'v Value> {
+        let found = path.split('.').try_fold(root, |value, key| value.get(key));
+        if found.is_none() {
+            self.fault(path, "is missing");
+        }
+        found
+    }
+
+    fn text(&mut self, root: &Value, path: &str) -> String {
+        match self.at(root, path).map(|v| v.as_str()) {
+            Some(Some(text)) if !text.is_empty() => text.into(),
+            Some(_) => {
+                self.fault(path, "must be a text that is not empty");
+                String::new()
+            }
+            None => String::new(),
+        }
+    }
+
+    fn address(&mut self, root: &Value, path: &str) -> SocketAddr {
+        let none = SocketAddr::from(([0, 0, 0, 0], 0));
+        let before = self.faults.len();
+        let text = self.text(root, path);
+        if self.faults.len() > before {
+            return none;
+        }
+        text.parse().unwrap_or_else(|_| {
+            self.fault(path, "must be an address such as 10.0.0.1:8080");
+            none
+        })
+    }
+
+    fn amount(&mut self, root: &Value, path: &str, least: f64, most: f64) -> f64 {
+        match self.at(root, path).map(Value::as_f64) {
+            Some(Some(x)) if (least..=most).contains(&x) => x,
+            Some(_) => {
+                self.fault(path, &format!("must be a number from {least} to {most}"));
+                least
+            }
+            None => least,
+        }
+    }
+
+    fn seconds(&mut self, root: &Value, path: &str) -> Duration {
+        Duration::from_secs_f64(self.amount(root, path, 0.001, 1e6))
+    }
+
+    fn list<'v>(&mut self, root: &'v Value, path: &str) -> &'v [Value] {
+        match self.at(root, path).map(Value::as_array) {
+            Some(Some(list)) => list,
+            Some(None) => {
+                self.fault(path, "must be a list");
+                &[]
+            }
+            None => &[],
+        }
+    }
+}
+
+/// Reads both files; on failure, every fault found.
+pub fn read(platform: &Path, operator: Option<&Path>) -> Result<Config, Vec<String>> {
+    let mut faults = Vec::new();
+    let root = load(platform, &mut faults);
+    let own = operator.map(|path| load(path, &mut faults));
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let sizing = match &own {
+        Some(value) => parse_operator(value, &mut faults),
+        None => Operator::default(),
+    };
+    let config = parse(&root, sizing, &mut faults);
+    if faults.is_empty() {
+        Ok(config)
+    } else {
+        Err(faults)
+    }
+}
+
+fn load(path: &Path, faults: &mut Vec<String>) -> Value {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            faults.push(format!("{} can't be read: {error}", path.display()));
+            return Value::Null;
+        }
+    };
+    match serde_json::from_str(&text) {
+        Ok(value @ Value::Object(_)) => value,
+        Ok(_) => {
+            faults.push(format!("{} must hold a JSON object", path.display()));
+            Value::Null
+        }
+        Err(error) => {
+            faults.push(format!("{} is not JSON: {error}", path.display()));
+            Value::Null
+        }
+    }
+}
+
+/// Checks the operators' settings against the schema, then reads them.
+pub fn parse_operator(value: &Value, faults: &mut Vec<String>) -> Operator {
+    let before = faults.len();
+    let schema: Value = serde_json::from_str(SCHEMA).unwrap_or_default();
+    match jsonschema::validator_for(&schema) {
+        Ok(validator) => {
+            for error in validator.iter_errors(value) {
+                faults.push(format!("operator settings: {}: {error}", error.instance_path()));
+            }
+        }
+        Err(error) => faults.push(format!("the schema itself is bad: {error}")),
+    }
+    if faults.len() > before {
+        return Operator::default();
+    }
+    serde_json::from_value(value.clone()).unwrap_or_else(|error| {
+        faults.push(format!("operator settings: {error}"));
+        Operator::default()
+    })
+}
+
+/// Reads the platform's settings.
+pub fn parse(root: &Value, operator: Operator, faults: &mut Vec<String>) -> Config {
+    let mut r = Reader { faults };
+    let host = r.text(root, "host_name");
+    let mut siblings = Vec::new();
+    for (i, sibling) in r.list(root, "siblings").iter().enumerate() {
+        let before = r.faults.len();
+        let found = (r.text(sibling, "host_name"), r.address(sibling, "address"));
+        for fault in &mut r.faults[before..] {
+            *fault = fault.replacen("settings: ", &format!("settings: siblings[{i}]."), 1);
+        }
+        siblings.push(found);
+    }
+    let mut teams = BTreeMap::new();
+    for (i, team) in r.list(root, "params.teams").iter().enumerate() {
+        let before = r.faults.len();
+        let name = r.text(team, "name");
+        let found = Team {
+            cpus: r.amount(team, "cpus", 0.0, 1e9),
+            cpus_max: r.amount(team, "cpus_max", 0.0, 1e9),
+            gpus: r.amount(team, "gpus", 0.0, 1e9),
+            gpus_max: r.amount(team, "gpus_max", 0.0, 1e9),
+        };
+        if teams.insert(name.clone(), found).is_some() {
+            r.fault("name", &format!("{name} is there twice"));
+        }
+        for fault in &mut r.faults[before..] {
+            *fault = fault.replacen("settings: ", &format!("settings: params.teams[{i}]."), 1);
+        }
+    }
+    let mut expectations: BTreeMap<String, Expectation> = BTreeMap::new();
+    // Objectives only restate aims, so that odd ones are no fault.
+    let objectives = root.pointer("/params/objectives").and_then(Value::as_array);
+    for objective in objectives.into_iter().flatten() {
+        let text = |key: &str| objective.get(key).and_then(Value::as_str);
+        let within = objective.get("within_s").and_then(Value::as_f64);
+        let within = within.filter(|s| (0.0..=1e7).contains(s)).map(Duration::from_secs_f64);
+        let (Some(kind), Some(class), Some(within)) = (text("kind"), text("class"), within) else {
+            continue;
+        };
+        let expectation = expectations.entry(class.into()).or_default();
+        let least = |old: Option<Duration>| Some(old.map_or(within, |old| old.min(within)));
+        match kind {
+            "wait" => expectation.wait = least(expectation.wait),
+            "finished" => expectation.finished = least(expectation.finished),
+            _ => {}
+        }
+    }
+    let sockets = r.amount(root, "params.quota.sockets", 16.0, 1e6);
+    let core = Settings {
+        host,
+        boot: rand::random(),
+        nodes: siblings.len() + 1,
+        siblings: siblings.iter().map(|(name, _)| name.clone()).collect(),
+        teams,
+        expectations,
+        report: r.seconds(root, "params.workers.report_s"),
+        lease: r.seconds(root, "params.workers.lease_s"),
+        cancel: r.seconds(root, "params.workers.cancel_s"),
+        state_rps: r.amount(root, "params.state.rps", 1.0, 1e6),
+        write_rps: r.amount(root, "params.state.write_rps", 1.0, 1e6),
+        value_bytes: (r.amount(root, "params.state.value_kb", 1.0, 1e4) * 1024.0) as usize,
+        txn_ops: r.amount(root, "params.state.txn_ops", 1.0, 1e4) as usize,
+        cloud_rps: r.amount(root, "params.cloud.rps", 0.1, 1e6),
+        list_lag: r.seconds(root, "params.cloud.list_lag_s"),
+        clock_off: Duration::from_secs_f64(r.amount(root, "params.clock_off_ms", 0.0, 1e6) / 1e3),
+        sizing: Sizing {
+            threshold: operator.sizing.threshold,
+            interval: Duration::from_secs_f64(operator.sizing.interval_s),
+            capacity: operator.sizing.capacity,
+        },
+    };
+    Config {
+        api: r.address(root, "api_addr"),
+        peer: r.address(root, "peer_bind"),
+        siblings,
+        cloud: r.address(root, "endpoints.cloud"),
+        state: r.address(root, "endpoints.state"),
+        connections: (sockets * (1.0 - SOCKETS_KEPT)) as usize,
+        core,
+    }
+}
--- /dev/null
+++ b/crates/plankhead/src/state.rs
@@ -0,0 +1,89 @@
+//! The state service's client. A reply that is not understood is a failure,
+//! never a fact.
+
+use crate::http::Client;
+use crate::wire;
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use plankhead_core::protocol::{CallError, Row, StateOp, StateReply};
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_millis(1200);
+/// What a watch may take beyond its own time.
+const WATCH_EXTRA: Duration = Duration::from_millis(1500);
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, CallError> {
+    serde_json::from_slice(body).map_err(|_| CallError::Lost)
+}
+
+pub async fn call(client: &Client, op: StateOp) -> Result<StateReply, CallError> {
+    let (method, path, body, within) = match &op {
+        StateOp::Get { key } => (Method::GET, format!("/kv/{key}"), Vec::new(), PATIENCE),
+        StateOp::List { prefix, after } => {
+            let after = after.as_ref().map(|a| format!("&after={a}")).unwrap_or_default();
+            (Method::GET, format!("/kv?prefix={prefix}{after}&most=1000"), Vec::new(), PATIENCE * 2)
+        }
+        StateOp::Txn { conditions, changes } => {
+            let body = wire::txn(conditions, changes).ok_or(CallError::Refused)?;
+            (Method::POST, "/txn".into(), body, PATIENCE)
+        }
+        StateOp::Grant { life } => {
+            let body = format!("{{\"lifeMs\":{}}}", life.as_millis()).into_bytes();
+            (Method::POST, "/grants".into(), body, PATIENCE)
+        }
+        StateOp::Touch { hold } => (Method::POST, format!("/grants/{hold}/touch"), Vec::new(), PATIENCE),
+        StateOp::Revoke { hold } => (Method::DELETE, format!("/grants/{hold}"), Vec::new(), PATIENCE),
+        StateOp::Follow { prefix, after, wait } => {
+            let path = format!("/follow?prefix={prefix}&after={after}&waitMs={}", wait.as_millis());
+            (Method::GET, path, Vec::new(), *wait + WATCH_EXTRA)
+        }
+    };
+    let (status, body) = client.call(method, &path, body, within).await?;
+    if matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
+        return Err(CallError::Refused);
+    }
+    understand(&op, status.as_u16(), &body)
+}
+
+fn understand(op: &StateOp, status: u16, body: &Bytes) -> Result<StateReply, CallError> {
+    let no_lease = |body: &Bytes| {
+        let value: serde_json::Value = parse(body)?;
+        let known = value.get("error").and_then(|e| e.as_str()) == Some("no such lease");
+        if known {
+            Ok(StateReply::NoGrant)
+        } else {
+            Err(CallError::Lost)
+        }
+    };
+    match (op, status) {
+        (StateOp::Get { .. }, 200) => Ok(StateReply::Got(Some(Row::from(parse::<wire::StateRow>(body)?)))),
+        (StateOp::Get { .. }, 404) => parse::<wire::Epoch>(body).map(|_| StateReply::Got(None)),
+        (StateOp::List { .. }, 200) => {
+            let page: wire::Page = parse(body)?;
+            let rows = page.rows.into_iter().map(Row::from).collect();
+            Ok(StateReply::Page { rows, truncated: page.truncated, epoch: page.epoch })
+        }
+        (StateOp::Txn { .. }, 200) => {
+            parse::<wire::Epoch>(body).map(|e| StateReply::Committed { epoch: e.epoch })
+        }
+        (StateOp::Txn { .. }, 409) => {
+            parse::<wire::Failed>(body).map(|f| StateReply::Conflict { failed: f.failed })
+        }
+        (StateOp::Txn { .. }, 400) => no_lease(body),
+        (StateOp::Grant { .. }, 200) => {
+            parse::<wire::Hold>(body).map(|h| StateReply::Granted { hold: h.hold })
+        }
+        (StateOp::Touch { .. }, 200) => Ok(StateReply::Touched),
+        (StateOp::Touch { .. }, 404) => Ok(StateReply::NoGrant),
+        (StateOp::Revoke { .. }, 200 | 204 | 404) => Ok(StateReply::Touched),
+        (StateOp::Follow { .. }, 200) => {
+            let events: wire::Events = parse(body)?;
+            let epoch = events.epoch;
+            let events = events.events().ok_or(CallError::Lost)?;
+            Ok(StateReply::Events { epoch, events })
+        }
+        (StateOp::Follow { .. }, 410) => Ok(StateReply::Compacted),
+        _ => Err(CallError::Lost),
+    }
+}
--- /dev/null
+++ b/crates/plankhead/src/tests/mod.rs
@@ -0,0 +1,1 @@
+mod settings;
--- /dev/null
+++ b/crates/plankhead/src/tests/settings.rs
@@ -0,0 +1,67 @@
+use crate::config::{parse, parse_operator, Operator, SCHEMA};
+use serde_json::{json, Value};
+
+/// The committed schema is the one that the types describe.
+#[test]
+fn schema_is_current() {
+    let made = serde_json::to_string_pretty(&schemars::schema_for!(Operator)).unwrap() + "\n";
+    if std::env::var_os("PLANKHEAD_WRITE_SCHEMA").is_some() {
+        std::fs::write(concat!(env!("CARGO_MANIFEST_DIR"), "/operator.schema.json"), &made).unwrap();
+        return;
+    }
+    assert_eq!(SCHEMA, made, "run the tests once with PLANKHEAD_WRITE_SCHEMA=1");
+}
+
+fn operator_faults(value: Value) -> usize {
+    let mut faults = Vec::new();
+    parse_operator(&value, &mut faults);
+    faults.len()
+}
+
+#[test]
+fn operator_settings_are_checked() {
+    assert_eq!(operator_faults(json!({})), 0);
+    assert_eq!(operator_faults(json!({"sizing": {"threshold": 2.5, "capacity": 40}})), 0);
+    assert_eq!(operator_faults(json!({"sizing": {"threshold": 0.5}})), 1);
+    assert_eq!(operator_faults(json!({"sizes": {}})), 1);
+    assert_eq!(operator_faults(json!({"sizing": {"interval_s": "75", "capacity": 0}})), 2);
+}
+
+pub fn platform() -> Value {
+    json!({
+        "host_name": "plank-0", "location": "a",
+        "api_addr": "127.0.0.1:0", "peer_bind": "127.0.0.1:0",
+        "siblings": [{"host_name": "plank-1", "location": "b", "address": "127.0.0.1:9"}],
+        "endpoints": {"cloud": "127.0.0.1:8", "state": "127.0.0.1:7"},
+        "params": {
+            "nodes": 2, "zones": ["a", "b"],
+            "teams": [{"name": "t", "cpus": 32.0, "cpus_max": 96.0, "gpus": 0.0, "gpus_max": 0.0}],
+            "objectives": [{"kind": "wait", "class": "c", "within_s": 8.0, "share": 0.9},
+                           {"kind": "guarantee", "within_s": 8.0, "share": 0.9}],
+            "workers": {"report_s": 1.0, "lease_s": 11.0, "cancel_s": 36.0},
+            "state": {"rps": 250.0, "write_rps": 60.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 3.0, "list_lag_s": 3.0},
+            "quota": {"cpu": 0.064, "ram_mb": 56.0, "sockets": 600},
+            "clock_off_ms": 100.0
+        },
+        "a_field_of_tomorrow": 1
+    })
+}
+
+#[test]
+fn every_fault_of_the_platform_file_is_named() {
+    let mut faults = Vec::new();
+    parse(&platform(), Operator::default(), &mut faults);
+    assert_eq!(faults, Vec::<String>::new());
+
+    let mut bad = platform();
+    bad["api_addr"] = json!("nowhere");
+    bad["params"]["workers"]["lease_s"] = json!(-1);
+    bad["params"]["teams"][0]["cpus"] = json!("many");
+    bad["siblings"][0].as_object_mut().unwrap().remove("address");
+    parse(&bad, Operator::default(), &mut faults);
+    assert_eq!(faults.len(), 4, "{faults:?}");
+    for part in ["api_addr", "lease_s", "params.teams[0].cpus", "siblings[0].address"] {
+        assert!(faults.iter().any(|f| f.contains(part)), "{part} in {faults:?}");
+    }
+}
--- /dev/null
+++ b/crates/plankhead/src/wire.rs
@@ -0,0 +1,439 @@
+//! The published messages, field by field. Their names stop here.
+
+use plankhead_core::job::{JobId, JobSpec, Resources, Urgency};
+use plankhead_core::protocol::{
+    Answer, Cause, Change, Condition, HostStatus, KeyEvent, Listed, ListedHost, Order, Report, Rig, Row,
+    Seen, Status, TaskId,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A number of seconds that is fit to be a duration.
+fn seconds(s: f64) -> Option<Duration> {
+    (0.0..=1e9).contains(&s).then(|| Duration::from_secs_f64(s))
+}
+
+// ----- users -----
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Work {
+    lane: String,
+    crew: String,
+    shape: Shape,
+    urgency: UrgencyName,
+    pieces: u32,
+    cpus: f64,
+    gpus: f64,
+    ram_gb: f64,
+    bundle: String,
+    image_gb: f64,
+    rigs: Option<Vec<String>>,
+    yard: Option<String>,
+    same_place: bool,
+    scatter: bool,
+    loaners: bool,
+    guess_s: f64,
+    bookmark_s: f64,
+    stow_s: f64,
+    due_s: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Shape {
+    Array,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum UrgencyName {
+    Critical,
+    Urgent,
+    Standard,
+    Idle,
+}
+
+/// A submission: the id, and the job or why it is malformed. Without a valid
+/// id there is nothing to look up, so that it is an error.
+pub fn submission(body: &[u8]) -> Result<(JobId, Result<JobSpec, String>), String> {
+    let value: Value = serde_json::from_slice(body).map_err(|e| format!("not JSON: {e}"))?;
+    if !value.is_object() {
+        return Err("not an object".into());
+    }
+    let id = value.get("nameId").and_then(Value::as_str).ok_or("nameId is missing or no text")?;
+    let id = JobId::parse(id).map_err(|e| e.to_string())?;
+    Ok((id, spec(value)))
+}
+
+fn spec(value: Value) -> Result<JobSpec, String> {
+    let work: Work = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    let Shape::Array = work.shape;
+    let spec = JobSpec {
+        class: work.lane,
+        team: work.crew,
+        urgency: match work.urgency {
+            UrgencyName::Critical => Urgency::Critical,
+            UrgencyName::Urgent => Urgency::Urgent,
+            UrgencyName::Standard => Urgency::Standard,
+            UrgencyName::Idle => Urgency::Idle,
+        },
+        tasks: work.pieces,
+        each: Resources { cpus: work.cpus, gpus: work.gpus, ram: work.ram_gb },
+        image: work.bundle,
+        image_gb: work.image_gb,
+        rigs: work.rigs,
+        zone: work.yard,
+        one_zone: work.same_place,
+        scatter: work.scatter,
+        spot: work.loaners,
+        estimate: work.guess_s,
+        checkpoint: work.bookmark_s,
+        save: work.stow_s,
+        due: work.due_s,
+    };
+    spec.check().map_err(|e| e.to_string())?;
+    Ok(spec)
+}
+
+fn status(status: Status) -> &'static str {
+    match status {
+        Status::Queued => "queued",
+        Status::Running => "running",
+        Status::Done => "done",
+        Status::Cancelled => "cancelled",
+    }
+}
+
+/// An answer's status, body and time to come back.
+pub fn answer(answer: &Answer) -> (u16, Value, Option<Duration>) {
+    match answer {
+        Answer::Job { fresh, id, status: s, done, running } => {
+            let code = if *fresh { 201 } else { 200 };
+            (code, json!({"nameId": id, "status": status(*s), "done": done, "running": running}), None)
+        }
+        Answer::Malformed(reason) => (400, json!({"error": reason}), None),
+        Answer::Impossible(reason) => (422, json!({"error": reason}), None),
+        Answer::NotFound => (404, json!({"error": "no such job"}), None),
+        Answer::Unavailable { retry } => (503, json!({"error": "try again later"}), Some(*retry)),
+        Answer::Beat { baton, orders } => {
+            let orders: Vec<Value> = orders.iter().map(order).collect();
+            (200, json!({"baton": baton, "orders": orders}), None)
+        }
+        Answer::Elsewhere { foreman: Some(host) } => (421, json!({"foreman": host}), None),
+        Answer::Elsewhere { foreman: None } => (421, json!({}), None),
+        Answer::View(view) => (200, view.clone(), None),
+    }
+}
+
+// ----- workers -----
+
+#[derive(Debug, Deserialize)]
+struct Beat {
+    host: String,
+    address: String,
+    rig: String,
+    yard: String,
+    loaners: bool,
+    shift: u64,
+    tick: u64,
+    baton: u64,
+    #[serde(rename = "warningS")]
+    warning_s: Option<f64>,
+    pieces: Vec<Piece>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Piece {
+    piece: String,
+    #[serde(rename = "try")]
+    attempt: u64,
+    status: PieceStatus,
+    cause: Option<CauseName>,
+}
+
+#[derive(Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum PieceStatus {
+    Pulling,
+    Running,
+    Saving,
+    Ended,
+}
+
+#[derive(Debug, Deserialize, Clone, Copy)]
+#[serde(rename_all = "lowercase")]
+enum CauseName {
+    Done,
+    Stopped,
+    Error,
+    Full,
+    Busy,
+    Unknown,
+}
+
+fn task(text: &str) -> Result<TaskId, String> {
+    let (job, index) = text.rsplit_once('/').ok_or("a task without a number")?;
+    let job = JobId::parse(job).map_err(|e| e.to_string())?;
+    let index = index.parse().map_err(|_| "a task with a strange number")?;
+    Ok(TaskId { job, index })
+}
+
+/// A worker's report.
+pub fn report(body: &[u8]) -> Result<Report, String> {
+    let beat: Beat = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    if beat.host.is_empty() || beat.host.len() > 100 || !beat.host.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err("a strange host name".into());
+    }
+    let warning = match beat.warning_s {
+        None => None,
+        Some(s) => Some(seconds(s.max(0.0)).ok_or("warningS is out of range")?),
+    };
+    let mut tasks = Vec::with_capacity(beat.pieces.len());
+    for piece in &beat.pieces {
+        let seen = match (&piece.status, piece.cause) {
+            (PieceStatus::Pulling, _) => Seen::Pulling,
+            (PieceStatus::Running, _) => Seen::Running,
+            (PieceStatus::Saving, _) => Seen::Saving,
+            (PieceStatus::Ended, Some(cause)) => Seen::Ended(match cause {
+                CauseName::Done => Cause::Done,
+                CauseName::Stopped => Cause::Stopped,
+                CauseName::Error => Cause::Error,
+                CauseName::Full => Cause::Full,
+                CauseName::Busy => Cause::Busy,
+                CauseName::Unknown => Cause::Unknown,
+            }),
+            (PieceStatus::Ended, None) => return Err("an ended task without a cause".into()),
+        };
+        tasks.push(Listed { task: task(&piece.piece)?, attempt: piece.attempt, seen });
+    }
+    Ok(Report {
+        host: beat.host.into(),
+        address: beat.address.into(),
+        rig: beat.rig,
+        zone: beat.yard,
+        spot: beat.loaners,
+        shift: beat.shift,
+        tick: beat.tick,
+        baton: beat.baton,
+        warning,
+        tasks,
+    })
+}
+
+fn order(order: &Order) -> Value {
+    let piece = |t: &TaskId| format!("{}/{}", t.job, t.index);
+    match order {
+        Order::Run { task, attempt } => json!({"verb": "run", "piece": piece(task), "try": attempt}),
+        Order::Kill { task, attempt, leeway } => {
+            json!({"verb": "kill", "piece": piece(task), "try": attempt, "leewayS": leeway.as_secs_f64()})
+        }
+        Order::Reap { task, attempt } => json!({"verb": "reap", "piece": piece(task), "try": attempt}),
+    }
+}
+
+pub fn orders(baton: u64, shift: u64, orders: &[Order]) -> Value {
+    let orders: Vec<Value> = orders.iter().map(order).collect();
+    json!({"baton": baton, "shift": shift, "orders": orders})
+}
+
+// ----- cloud -----
+
+#[derive(Debug, Deserialize)]
+struct Catalog {
+    rigs: Vec<CatalogRig>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct CatalogRig {
+    label: String,
+    cpus: f64,
+    gpus: f64,
+    ram_gb: f64,
+    local_gb: f64,
+    pull_gb_per_s: f64,
+    rate: f64,
+    market_price: f64,
+    ready_s: f64,
+    yards: Vec<String>,
+}
+
+pub fn catalog(body: &[u8]) -> Option<Vec<Rig>> {
+    let catalog: Catalog = serde_json::from_slice(body).ok()?;
+    let mut rigs = Vec::new();
+    for rig in catalog.rigs {
+        let amounts =
+            [rig.cpus, rig.gpus, rig.ram_gb, rig.local_gb, rig.pull_gb_per_s, rig.rate, rig.market_price];
+        if !amounts.iter().all(|x| (0.0..=1e9).contains(x)) || rig.yards.is_empty() {
+            return None;
+        }
+        rigs.push(Rig {
+            label: rig.label,
+            cpus: rig.cpus,
+            gpus: rig.gpus,
+            ram: rig.ram_gb,
+            cache_gb: rig.local_gb,
+            pull_gb_per_s: rig.pull_gb_per_s,
+            price: rig.rate,
+            spot_price: rig.market_price,
+            boot: seconds(rig.ready_s)?,
+            zones: rig.yards,
+        });
+    }
+    Some(rigs)
+}
+
+#[derive(Debug, Deserialize)]
+struct Hosts {
+    hosts: Vec<HostRow>,
+    truncated: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct HostRow {
+    name_id: String,
+    address: String,
+    rig: String,
+    yard: String,
+    loaners: bool,
+    status: HostStatusName,
+    held_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum HostStatusName {
+    Booting,
+    Running,
+    Failed,
+}
+
+pub fn hosts(body: &[u8]) -> Option<(Vec<ListedHost>, bool)> {
+    let page: Hosts = serde_json::from_slice(body).ok()?;
+    let mut hosts = Vec::with_capacity(page.hosts.len());
+    for row in page.hosts {
+        hosts.push(ListedHost {
+            host: row.name_id.into(),
+            address: row.address.into(),
+            rig: row.rig,
+            zone: row.yard,
+            spot: row.loaners,
+            status: match row.status {
+                HostStatusName::Booting => HostStatus::Booting,
+                HostStatusName::Running => HostStatus::Running,
+                HostStatusName::Failed => HostStatus::Failed,
+            },
+            held: seconds(row.held_s)?,
+        });
+    }
+    Some((hosts, page.truncated))
+}
+
+pub fn hire(name: &str, rig: &str, zone: &str, spot: bool, count: u32) -> Value {
+    json!({"hire": name, "rig": rig, "yard": zone, "loaners": spot, "number": count})
+}
+
+pub fn hired(body: &[u8]) -> Option<Vec<String>> {
+    #[derive(Deserialize)]
+    struct Hired {
+        hosts: Vec<String>,
+    }
+    serde_json::from_slice::<Hired>(body).ok().map(|h| h.hosts)
+}
+
+// ----- state service -----
+
+#[derive(Debug, Deserialize)]
+pub struct StateRow {
+    k: String,
+    value: Box<RawValue>,
+    stamp: u64,
+}
+
+impl From<StateRow> for Row {
+    fn from(row: StateRow) -> Self {
+        Row { key: row.k, value: row.value.get().into(), stamp: row.stamp }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Page {
+    pub rows: Vec<StateRow>,
+    pub truncated: bool,
+    pub epoch: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Epoch {
+    pub epoch: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Failed {
+    pub failed: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Hold {
+    pub hold: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Events {
+    pub epoch: u64,
+    events: Vec<RawEvent>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawEvent {
+    write: Option<String>,
+    drop: Option<String>,
+    value: Option<Box<RawValue>>,
+    stamp: u64,
+}
+
+impl Events {
+    pub fn events(self) -> Option<Vec<KeyEvent>> {
+        let event = |e: RawEvent| match (e.write, e.drop, e.value) {
+            (Some(key), None, Some(value)) => {
+                Some(KeyEvent::Written(Row { key, value: value.get().into(), stamp: e.stamp }))
+            }
+            (None, Some(key), _) => Some(KeyEvent::Dropped { key, stamp: e.stamp }),
+            _ => None,
+        };
+        self.events.into_iter().map(event).collect()
+    }
+}
+
+pub fn txn(conditions: &[Condition], changes: &[Change]) -> Option<Vec<u8>> {
+    #[derive(Serialize)]
+    struct Put<'a> {
+        write: &'a str,
+        value: &'a RawValue,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        hold: Option<u64>,
+    }
+    let mut apply: Vec<Box<RawValue>> = Vec::with_capacity(changes.len());
+    for change in changes {
+        let text = match change {
+            Change::Write { key, value, hold } => {
+                let value: &RawValue = serde_json::from_str(value).ok()?;
+                serde_json::to_string(&Put { write: key, value, hold: *hold })
+            }
+            Change::Drop { key } => serde_json::to_string(&BTreeMap::from([("drop", key)])),
+        };
+        apply.push(RawValue::from_string(text.ok()?).ok()?);
+    }
+    let conditions: Vec<Value> = conditions.iter().map(|c| json!({"k": c.key, "stamp": c.stamp})).collect();
+    #[derive(Serialize)]
+    struct Txn {
+        r#if: Vec<Value>,
+        apply: Vec<Box<RawValue>>,
+    }
+    serde_json::to_vec(&Txn { r#if: conditions, apply }).ok()
+}
