--- a/crates/plankhead-core/src/leader.rs
+++ b/crates/plankhead-core/src/leader.rs
@@ -1171,8 +1171,8 @@
         }
         let (teams, index) = self.teams();
         let (_, work) = self.work(now, &teams, &index);
-        let first = self.target.round == 0 && !work.is_empty();
-        if now >= self.round_due || first {
+        // The first round waits for something to replay.
+        if now >= self.round_due && (self.target.round > 0 || !work.is_empty()) {
             self.round_due = now + self.settings.sizing.interval;
             let mut target =
                 Target { round: self.target.round + 1, at_ms: times.wall_ms(), ..Target::default() };
