--- a/crates/plankhead-core/src/leader.rs
+++ b/crates/plankhead-core/src/leader.rs
@@ -6,7 +6,7 @@
 use crate::easy::{self, Running, Slot};
 use crate::election;
 use crate::fleet::{Fleet, Leaving, Machine, Pool};
-use crate::job::{JobId, JobRecord, Phase, Resources};
+use crate::job::{JobId, JobRecord, JobSpec, Phase, Resources};
 use crate::ledger::{Ended, Entry, Ledger};
 use crate::node::{Out, Purpose, Times};
 use crate::protocol::{
@@ -14,11 +14,11 @@
     Order, OrdersReply, Progress, Report, Row, Seen, StateOp, StateReply, Status, TaskId,
 };
 use crate::queue::{mark_guaranteed, TeamRoom, Work};
-use crate::replay;
+use crate::replay::{self, Arrival};
 use crate::settings::Settings;
 use crate::sizing;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,6 +49,10 @@
 const STUCK: Duration = Duration::from_secs(120);
 /// A machine without work goes back after this time at the earliest.
 const IDLE: Duration = Duration::from_secs(3);
+/// Arrivals remembered for the replay, and the shortest time that they are
+/// taken to tell a rate.
+const MOST_ARRIVALS: usize = 1_000;
+const LEAST_WINDOW: Duration = Duration::from_secs(20);
 
 /// What a leader's call is for.
 #[derive(Debug, Clone, PartialEq)]
@@ -138,6 +142,8 @@
     /// Run time over estimate, by class.
     ratios: HashMap<String, f64>,
     late_due: Duration,
+    /// The jobs of the last interval: when each came, and what it was.
+    arrivals: VecDeque<(Duration, Arc<JobSpec>)>,
 }
 
 impl Leader {
@@ -178,6 +184,7 @@
             image_sizes: HashMap::new(),
             ratios: HashMap::new(),
             late_due: now,
+            arrivals: VecDeque::new(),
             settings,
         }
     }
@@ -321,6 +328,14 @@
             self.image_sizes.insert(spec.image.as_str().into(), spec.image_gb);
         }
         let per_chunk = record.per_chunk.max(1);
+        if record.phase == Phase::Live && !self.ledger.jobs.contains_key(&id) {
+            if let Some(spec) = &record.spec {
+                self.arrivals.push_back((accepted, Arc::new(spec.clone())));
+                if self.arrivals.len() > MOST_ARRIVALS {
+                    self.arrivals.pop_front();
+                }
+            }
+        }
         self.ledger.upsert(&id, record, row.stamp, accepted, cancelled, per_chunk);
         self.dirty = true;
     }
@@ -825,21 +840,21 @@
 
     // ----- placing -----
 
-    fn estimate(&self, entry: &Entry) -> Duration {
-        let ratio = self.ratios.get(&entry.spec.class).copied().unwrap_or(1.0);
-        Duration::from_secs_f64((entry.spec.estimate * ratio).clamp(0.1, 1e6))
+    fn estimate(&self, spec: &JobSpec) -> Duration {
+        let ratio = self.ratios.get(&spec.class).copied().unwrap_or(1.0);
+        Duration::from_secs_f64((spec.estimate * ratio).clamp(0.1, 1e6))
     }
 
     /// When a job should start at the latest, by its deadline and by what its
     /// class expects.
-    fn due(&self, entry: &Entry) -> Duration {
-        let estimate = self.estimate(entry);
-        let expected = self.settings.expectations.get(&entry.spec.class).copied().unwrap_or_default();
-        let done_by = |within: Duration| (entry.accepted + within).saturating_sub(estimate);
-        let deadline = entry.spec.due.map(|d| done_by(Duration::from_secs_f64(d.min(1e7))));
+    fn due(&self, spec: &JobSpec, accepted: Duration) -> Duration {
+        let estimate = self.estimate(spec);
+        let expected = self.settings.expectations.get(&spec.class).copied().unwrap_or_default();
+        let done_by = |within: Duration| (accepted + within).saturating_sub(estimate);
+        let deadline = spec.due.map(|d| done_by(Duration::from_secs_f64(d.min(1e7))));
         let finished = expected.finished.map(done_by);
-        let wait = expected.wait.map(|within| entry.accepted + within);
-        let default = entry.accepted + Duration::from_secs(600);
+        let wait = expected.wait.map(|within| accepted + within);
+        let default = accepted + Duration::from_secs(600);
         [deadline, finished, wait].into_iter().flatten().min().unwrap_or(default)
     }
 
@@ -868,6 +883,49 @@
         (rooms, index)
     }
 
+    /// A whole job as work for a pass.
+    fn all_of(&self, spec: &JobSpec, team: usize, accepted: Duration) -> Work {
+        Work {
+            team,
+            urgency: spec.urgency,
+            guaranteed: false,
+            accepted,
+            due: self.due(spec, accepted),
+            each: spec.each,
+            image: spec.image.as_str().into(),
+            image_gb: spec.image_gb,
+            rigs: spec.rigs.clone(),
+            zone: spec.zone.as_deref().map(Into::into),
+            one_zone: spec.one_zone,
+            zone_most: if spec.scatter { spec.tasks.div_ceil(2) } else { u32::MAX },
+            spot: spec.spot,
+            estimate: self.estimate(spec),
+            pending: spec.tasks,
+            zones: Vec::new(),
+        }
+    }
+
+    /// The jobs of the last interval, as if they came again in the next.
+    fn expected(&mut self, now: Duration, index: &HashMap<String, usize>) -> Vec<Arrival> {
+        let interval = self.settings.sizing.interval;
+        let window = interval.min(now.saturating_sub(self.began).max(LEAST_WINDOW));
+        let from = now.saturating_sub(window);
+        self.arrivals.retain(|(at, _)| *at >= from);
+        let mut expected = Vec::new();
+        let mut shift = window;
+        // A leader younger than the interval repeats what it saw.
+        while shift < interval + window {
+            for (at, spec) in &self.arrivals {
+                let at = *at + shift;
+                if let Some(team) = index.get(&spec.team).filter(|_| at < now + interval) {
+                    expected.push(Arrival { at, work: self.all_of(spec, *team, at) });
+                }
+            }
+            shift += window;
+        }
+        expected
+    }
+
     /// The pending work, with the ids of its jobs.
     fn work(
         &self,
@@ -883,24 +941,9 @@
                 continue;
             }
             let held = entry.stale || entry.not_before > now;
-            let work = Work {
-                team: *team,
-                urgency: spec.urgency,
-                guaranteed: false,
-                accepted: entry.accepted,
-                due: self.due(entry),
-                each: spec.each,
-                image: spec.image.as_str().into(),
-                image_gb: spec.image_gb,
-                rigs: spec.rigs.clone(),
-                zone: spec.zone.as_deref().map(Into::into),
-                one_zone: spec.one_zone,
-                zone_most: if spec.scatter { spec.tasks.div_ceil(2) } else { u32::MAX },
-                spot: spec.spot,
-                estimate: self.estimate(entry),
-                pending: if held { 0 } else { entry.pending() },
-                zones: entry.zones.iter().map(|(z, n)| (z.clone(), *n)).collect(),
-            };
+            let mut work = self.all_of(spec, *team, entry.accepted);
+            work.pending = if held { 0 } else { entry.pending() };
+            work.zones = entry.zones.iter().map(|(z, n)| (z.clone(), *n)).collect();
             all.push((id, entry, work));
         }
         let needs: Vec<Resources> = all
@@ -962,7 +1005,7 @@
                     begin = (attempt.placed + fetch).max(now);
                 }
             }
-            let estimate = self.estimate(entry);
+            let estimate = self.estimate(&entry.spec);
             let end = (begin + estimate).max(now + estimate / 5);
             let team = index.get(entry.spec.team.as_str()).copied().unwrap_or(0);
             slot.free.sub(&entry.spec.each);
@@ -1176,8 +1219,10 @@
             self.round_due = now + self.settings.sizing.interval;
             let mut target =
                 Target { round: self.target.round + 1, at_ms: times.wall_ms(), ..Target::default() };
+            let expected = self.expected(now, &index);
             for rig in self.fleet.rigs.keys() {
-                target.rigs.insert(rig.clone(), self.trial(now, rig, &work, &teams, &index));
+                let size = self.trial(now, rig, (&work, &expected), &teams, &index);
+                target.rigs.insert(rig.clone(), size);
             }
             out.log(Level::Info, format!("round {}: {:?}", target.round, target.rigs));
             self.target = target;
@@ -1186,22 +1231,24 @@
         self.raise(&work);
     }
 
-    /// The climb for one type.
+    /// The climb for one type, over the jobs that can use it.
     fn trial(
         &self,
         now: Duration,
         rig: &str,
-        work: &[Work],
+        (work, expected): (&[Work], &[Arrival]),
         teams: &[TeamRoom],
         index: &HashMap<String, usize>,
     ) -> Size {
         let Some(kind) = self.fleet.rigs.get(rig) else { return Size::default() };
-        let suits = |w: &&Work| kind.zones.iter().any(|z| w.allows(rig, z, false));
-        let all: Vec<Work> = work.iter().filter(suits).cloned().collect();
+        let suits = |w: &Work| kind.zones.iter().any(|z| w.allows(rig, z, false));
+        let all: Vec<Work> = work.iter().filter(|w| suits(w)).cloned().collect();
+        let coming: Vec<Arrival> = expected.iter().filter(|a| suits(&a.work)).cloned().collect();
         let strict: Vec<Work> = all.iter().filter(|w| !w.spot).cloned().collect();
+        let strict_coming: Vec<Arrival> = coming.iter().filter(|a| !a.work.spot).cloned().collect();
         let most = self.capacity(rig, now);
-        let ordinary = self.climb(now, rig, &strict, teams, index, most, false);
-        let machines = self.climb(now, rig, &all, teams, index, most, true).max(ordinary);
+        let ordinary = self.climb(now, rig, (&strict, &strict_coming), teams, index, most, false);
+        let machines = self.climb(now, rig, (&all, &coming), teams, index, most, true).max(ordinary);
         Size { machines, ordinary }
     }
 
@@ -1210,7 +1257,7 @@
         &self,
         now: Duration,
         rig: &str,
-        work: &[Work],
+        (work, coming): (&[Work], &[Arrival]),
         teams: &[TeamRoom],
         index: &HashMap<String, usize>,
         most: u32,
@@ -1255,7 +1302,7 @@
                     pull_gb_per_s: 0.0,
                 });
             }
-            replay::slowdown(now, fleet, work.to_vec(), Vec::new(), teams.to_vec(), running.len())
+            replay::slowdown(now, fleet, work.to_vec(), coming.to_vec(), teams.to_vec(), running.len())
         })
     }
 
