Judge machines known from placements or listed as running by silence

Cause: after a takeover, machines that the spot wave had taken were known only from placements; they were given the patience of a boot (156 s), and their tasks stood still. Ruled out: fleet size (target was 25 of 28).

--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -56,6 +56,9 @@
     pub heard: Duration,
     pub notice: bool,
     pub listed: bool,
+    /// It was up once, by the list or by the attempts placed on it, even if
+    /// this leader has not heard from it.
+    pub was_up: bool,
     /// Lists in a row that lacked it after it had been listed.
     pub unlisted: u32,
     pub images: VecDeque<Arc<str>>,
@@ -114,6 +117,7 @@
             heard: now,
             notice: false,
             listed: false,
+            was_up: false,
             unlisted: 0,
             images: VecDeque::new(),
             errors: 0,
@@ -129,7 +133,9 @@
     pub fn expect(&mut self, host: &HostName, now: Duration) {
         let pool = Pool { rig: String::new(), zone: String::new(), spot: false };
         if !self.gone.contains(host) {
-            self.insert(host, "".into(), pool, now, now).listed = true;
+            let machine = self.insert(host, "".into(), pool, now, now);
+            machine.listed = true;
+            machine.was_up = true;
         }
     }
 
@@ -232,6 +238,7 @@
             machine.since = since;
             machine.pool = Pool { rig: host.rig.clone(), zone: host.zone.clone(), spot: host.spot };
             machine.listed = true;
+            machine.was_up |= host.status == HostStatus::Running;
             machine.unlisted = 0;
             if machine.address.is_empty() {
                 machine.address = host.address.clone();
@@ -254,7 +261,9 @@
         for machine in self.machines.values_mut().filter(|m| m.leaving.is_none()) {
             let quiet = now.saturating_sub(machine.heard);
             let boot = self.rigs.get(&machine.pool.rig).map_or(Duration::from_secs(60), |r| r.boot);
-            let reason = if machine.newest.is_none() {
+            // A machine that was taken before a new leader came never reports to
+            // it: only silence tells, not the patience for a boot.
+            let reason = if machine.newest.is_none() && !machine.was_up {
                 let patience = boot.mul_f64(BOOT_PATIENCE);
                 (now.saturating_sub(machine.since) > patience && quiet > silent).then_some(Leaving::NeverUp)
             } else if quiet > silent {
