--- /dev/null
+++ b/crates/plankhead-core/tests/histories.rs
@@ -0,0 +1,74 @@
+//! The core against the slow plain model of `world`, over seeded histories.
+
+mod world;
+
+use world::{secs, Troubles, World};
+
+/// Plays histories and expects every job to come to its end.
+fn play(seeds: std::ops::Range<u64>, troubles: Troubles) {
+    for seed in seeds {
+        let mut world = World::new(seed, troubles);
+        world.plan(24, secs(90));
+        world.run(secs(1500));
+        let left: Vec<_> =
+            world.jobs.iter().filter(|j| !j.done_or_cancelled()).map(|j| (j.id.clone(), j.told)).collect();
+        assert!(left.is_empty(), "seed {seed}: unfinished {left:?}");
+        assert!(world.starts > 0, "nothing_ran");
+    }
+}
+
+#[test]
+fn quiet() {
+    play(0..10, Troubles::default());
+}
+
+#[test]
+fn lost_and_late_replies() {
+    play(0..25, Troubles { lost: 0.05, late: 0.5, ..Troubles::default() });
+}
+
+#[test]
+fn nodes_crash() {
+    play(0..25, Troubles { crashes: 8, all_crash: 1, lost: 0.01, late: 0.5, ..Troubles::default() });
+}
+
+#[test]
+fn state_service_fails() {
+    play(0..25, Troubles { outages: 3, refusals: 3, crashes: 2, lost: 0.01, ..Troubles::default() });
+}
+
+#[test]
+fn machines_fail() {
+    play(0..25, Troubles { cuts: 4, hangs: 4, deaths: 3, lost: 0.01, ..Troubles::default() });
+}
+
+#[test]
+fn everything_fails() {
+    let troubles = Troubles {
+        lost: 0.03,
+        late: 0.5,
+        crashes: 5,
+        all_crash: 1,
+        outages: 2,
+        refusals: 2,
+        cuts: 3,
+        hangs: 3,
+        deaths: 2,
+        errors: 0.1,
+        lying_cloud: false,
+    };
+    play(0..40, troubles);
+}
+
+/// The model catches a rule that is broken on purpose: here the evidence itself
+/// is false, since the cloud confirms releases that it does not carry out.
+#[test]
+#[should_panic(expected = "ran_twice")]
+fn a_lying_cloud_is_caught() {
+    for seed in 0..40 {
+        let mut world =
+            World::new(seed, Troubles { hangs: 10, cuts: 6, lying_cloud: true, ..Troubles::default() });
+        world.plan(40, secs(90));
+        world.run(secs(400));
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/tests/world/kv.rs
@@ -0,0 +1,143 @@
+//! The state service of the model.
+
+use plankhead_core::protocol::*;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+#[derive(Debug, Clone)]
+struct Value {
+    text: String,
+    stamp: u64,
+    hold: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+pub struct Kv {
+    keys: BTreeMap<String, Value>,
+    epoch: u64,
+    log: Vec<(u64, KeyEvent)>,
+    grants: HashMap<u64, (Duration, Duration)>,
+    last_grant: u64,
+}
+
+impl Kv {
+    pub fn apply(&mut self, now: Duration, op: StateOp) -> Result<StateReply, CallError> {
+        Ok(match op {
+            StateOp::Get { key } => StateReply::Got(self.keys.get(&key).map(|v| Row {
+                key,
+                value: v.text.clone(),
+                stamp: v.stamp,
+            })),
+            StateOp::List { prefix, after } => {
+                let from = after.unwrap_or_default();
+                let mut rows: Vec<Row> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(&prefix) && **k > from)
+                    .map(|(k, v)| Row { key: k.clone(), value: v.text.clone(), stamp: v.stamp })
+                    .collect();
+                let truncated = rows.len() > 20;
+                rows.truncate(20);
+                StateReply::Page { rows, truncated, epoch: self.epoch }
+            }
+            StateOp::Txn { conditions, changes } => self.txn(conditions, changes),
+            StateOp::Grant { life } => {
+                self.last_grant += 1;
+                self.grants.insert(self.last_grant, (life, now + life));
+                StateReply::Granted { hold: self.last_grant }
+            }
+            StateOp::Touch { hold } => match self.grants.get_mut(&hold) {
+                Some((life, until)) => {
+                    *until = now + *life;
+                    StateReply::Touched
+                }
+                None => StateReply::NoGrant,
+            },
+            StateOp::Revoke { hold } => {
+                self.end(hold);
+                StateReply::Touched
+            }
+            StateOp::Follow { prefix, after, .. } => self.changes(&prefix, after),
+        })
+    }
+
+    fn txn(&mut self, conditions: Vec<Condition>, changes: Vec<Change>) -> StateReply {
+        let unknown =
+            |c: &Change| matches!(c, Change::Write { hold: Some(h), .. } if !self.grants.contains_key(h));
+        if changes.iter().any(unknown) {
+            return StateReply::NoGrant;
+        }
+        let stamp = |k: &str| self.keys.get(k).map_or(0, |v| v.stamp);
+        let failed: Vec<String> =
+            conditions.iter().filter(|c| stamp(&c.key) != c.stamp).map(|c| c.key.clone()).collect();
+        if !failed.is_empty() {
+            return StateReply::Conflict { failed };
+        }
+        assert!(changes.len() <= 8 && conditions.len() <= 32, "a transaction over the limits");
+        self.epoch += 1;
+        for change in changes {
+            match change {
+                Change::Write { key, value, hold } => {
+                    assert!(value.len() <= 4096, "a value over the limit");
+                    let row = Row { key: key.clone(), value: value.clone(), stamp: self.epoch };
+                    self.log.push((self.epoch, KeyEvent::Written(row)));
+                    self.keys.insert(key, Value { text: value, stamp: self.epoch, hold });
+                }
+                Change::Drop { key } => self.drop_key(key),
+            }
+        }
+        StateReply::Committed { epoch: self.epoch }
+    }
+
+    fn drop_key(&mut self, key: String) {
+        if self.keys.remove(&key).is_some() {
+            self.log.push((self.epoch, KeyEvent::Dropped { key, stamp: self.epoch }));
+        }
+    }
+
+    fn end(&mut self, hold: u64) {
+        self.grants.remove(&hold);
+        let held: Vec<String> =
+            self.keys.iter().filter(|(_, v)| v.hold == Some(hold)).map(|(k, _)| k.clone()).collect();
+        if !held.is_empty() {
+            self.epoch += 1;
+        }
+        for key in held {
+            self.drop_key(key);
+        }
+    }
+
+    /// Grants run out; true if some did.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        let over: Vec<u64> =
+            self.grants.iter().filter(|(_, (_, until))| *until <= now).map(|(h, _)| *h).collect();
+        for hold in &over {
+            self.end(*hold);
+        }
+        !over.is_empty()
+    }
+
+    /// During an outage no grant runs out, and each has its full time after.
+    pub fn postpone(&mut self, now: Duration) {
+        for (life, until) in self.grants.values_mut() {
+            *until = now + *life;
+        }
+    }
+
+    pub fn news(&self, prefix: &str, after: u64) -> bool {
+        self.log.iter().rev().take_while(|(at, _)| *at > after).any(|(_, e)| matches(e, prefix))
+    }
+
+    pub fn changes(&self, prefix: &str, after: u64) -> StateReply {
+        let events =
+            self.log.iter().filter(|(at, e)| *at > after && matches(e, prefix)).map(|(_, e)| e.clone());
+        StateReply::Events { epoch: self.epoch, events: events.collect() }
+    }
+}
+
+fn matches(event: &KeyEvent, prefix: &str) -> bool {
+    match event {
+        KeyEvent::Written(row) => row.key.starts_with(prefix),
+        KeyEvent::Dropped { key, .. } => key.starts_with(prefix),
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -0,0 +1,641 @@
+//! A slow plain model of everything round the core: the state service, the
+//! cloud, workers and users, as the protocol describes them, with their
+//! troubles. It knows all, and asserts the rules at every step.
+
+mod kv;
+mod worker;
+
+use kv::Kv;
+use plankhead_core::job::{JobId, JobSpec, Resources, Urgency};
+use plankhead_core::node::{Node, Times};
+use plankhead_core::protocol::*;
+use plankhead_core::settings::{Settings, Sizing, Team};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::time::{Duration, SystemTime};
+use worker::Worker;
+
+pub const LEASE: Duration = Duration::from_secs(11);
+const CANCEL: Duration = Duration::from_secs(36);
+const REPORT: Duration = Duration::from_secs(1);
+const EPOCH: Duration = Duration::from_secs(1_000_000);
+const CAP: f64 = 24.0;
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+/// What goes wrong in a history.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Troubles {
+    /// Share of state and cloud replies that are lost.
+    pub lost: f64,
+    /// Share of lost state requests that are carried out seconds later.
+    pub late: f64,
+    pub crashes: u32,
+    pub all_crash: u32,
+    pub outages: u32,
+    pub refusals: u32,
+    pub cuts: u32,
+    pub hangs: u32,
+    pub deaths: u32,
+    pub errors: f64,
+    /// A cloud that lies: confirmed releases leave the machine running.
+    pub lying_cloud: bool,
+}
+
+#[derive(Debug, Clone)]
+enum Happening {
+    /// Whoever got no answer by then asks again.
+    Unanswered {
+        node: usize,
+        boot: u64,
+        ask: Ask,
+        again: Box<Happening>,
+    },
+    Tick {
+        node: usize,
+        boot: u64,
+    },
+    ToNode {
+        node: usize,
+        boot: u64,
+        event: Event,
+    },
+    StateArrives {
+        node: usize,
+        boot: u64,
+        call: Call,
+        op: StateOp,
+        answered: bool,
+    },
+    FollowEnds {
+        watch: u64,
+    },
+    CloudArrives {
+        node: usize,
+        boot: u64,
+        call: Call,
+        op: CloudOp,
+        answered: bool,
+    },
+    OrdersArrive {
+        node: usize,
+        boot: u64,
+        call: Call,
+        host: HostName,
+        baton: u64,
+        shift: u64,
+        orders: Vec<Order>,
+    },
+    Beat {
+        host: HostName,
+    },
+    BeatAnswered {
+        host: HostName,
+        sent: Duration,
+        shift: u64,
+        tick: u64,
+        answer: Answer,
+    },
+    BeatGivenUp {
+        host: HostName,
+        tick: u64,
+    },
+    Ends {
+        host: HostName,
+        task: TaskId,
+        attempt: u64,
+        shift: u64,
+    },
+    Pulled {
+        host: HostName,
+        task: TaskId,
+        attempt: u64,
+        shift: u64,
+    },
+    Submit {
+        job: usize,
+    },
+    Poll {
+        job: usize,
+    },
+    Abort {
+        job: usize,
+    },
+    Crash {
+        node: usize,
+    },
+    Start {
+        node: usize,
+    },
+    Outage {
+        until: Duration,
+    },
+    Refuse {
+        node: usize,
+        until: Duration,
+    },
+    Cut {
+        until: Duration,
+    },
+    Hang {
+        until: Duration,
+    },
+    Die,
+}
+
+#[derive(Debug)]
+struct Watch {
+    id: u64,
+    node: usize,
+    boot: u64,
+    call: Call,
+    prefix: String,
+    after: u64,
+}
+
+/// What a user asked for and was told.
+#[derive(Debug)]
+pub struct Job {
+    pub id: JobId,
+    pub spec: JobSpec,
+    pub accepted: bool,
+    pub submitted: bool,
+    pub aborting: bool,
+    pub cancelled: Option<Duration>,
+    pub told: Option<Status>,
+    pub done: BTreeSet<u32>,
+    pub runs: f64,
+}
+
+impl Job {
+    pub fn done_or_cancelled(&self) -> bool {
+        matches!(self.told, Some(Status::Done | Status::Cancelled))
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Asked {
+    Submit(usize),
+    Poll(usize),
+    Abort(usize),
+    Beat { host: HostName, sent: Duration, shift: u64, tick: u64 },
+}
+
+pub struct World {
+    pub now: Duration,
+    rng: StdRng,
+    troubles: Troubles,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    happenings: HashMap<u64, Happening>,
+    sequence: u64,
+    nodes: Vec<Option<(u64, Node)>>,
+    boots: u64,
+    kv: Kv,
+    outage: Duration,
+    refused: Vec<Duration>,
+    watches: Vec<Watch>,
+    pub workers: BTreeMap<HostName, Worker>,
+    hires: HashMap<String, Vec<HostName>>,
+    machines: u64,
+    pub jobs: Vec<Job>,
+    by_id: HashMap<JobId, usize>,
+    asks: HashMap<(usize, u64, Ask), Asked>,
+    last_ask: Ask,
+    pub starts: u32,
+    log: bool,
+}
+
+fn settings(node: usize, boot: u64) -> Settings {
+    let name = |n: usize| format!("plank-{n}");
+    let team = Team { cpus: 16.0, cpus_max: CAP, gpus: 0.0, gpus_max: 0.0 };
+    Settings {
+        host: name(node),
+        boot,
+        nodes: 3,
+        siblings: (0..3).filter(|n| *n != node).map(name).collect(),
+        teams: BTreeMap::from([("a".into(), team), ("b".into(), team)]),
+        expectations: BTreeMap::new(),
+        report: REPORT,
+        lease: LEASE,
+        cancel: CANCEL,
+        state_rps: 250.0,
+        write_rps: 60.0,
+        value_bytes: 4096,
+        txn_ops: 8,
+        cloud_rps: 4.0,
+        list_lag: secs(3),
+        clock_off: ms(100),
+        sizing: Sizing { threshold: 1.5, interval: secs(20), capacity: Some(8) },
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, troubles: Troubles) -> Self {
+        let mut world = Self {
+            now: EPOCH,
+            rng: StdRng::seed_from_u64(seed),
+            troubles,
+            queue: BinaryHeap::new(),
+            happenings: HashMap::new(),
+            sequence: 0,
+            nodes: (0..3).map(|_| None).collect(),
+            boots: 0,
+            kv: Kv::default(),
+            outage: Duration::ZERO,
+            refused: vec![Duration::ZERO; 3],
+            watches: Vec::new(),
+            workers: BTreeMap::new(),
+            hires: HashMap::new(),
+            machines: 0,
+            jobs: Vec::new(),
+            by_id: HashMap::new(),
+            asks: HashMap::new(),
+            last_ask: 0,
+            starts: 0,
+            log: std::env::var_os("WORLD_LOG").is_some(),
+        };
+        for node in 0..3 {
+            world.at(ms(10 * node as u64), Happening::Start { node });
+        }
+        world
+    }
+
+    fn at(&mut self, after: Duration, happening: Happening) {
+        self.sequence += 1;
+        self.happenings.insert(self.sequence, happening);
+        self.queue.push(Reverse((self.now + after, self.sequence)));
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        self.rng.random_range(0.0..1.0) < share
+    }
+
+    fn between(&mut self, low: u64, high: u64) -> Duration {
+        ms(self.rng.random_range(low..=high))
+    }
+
+    /// Jobs and troubles at random times within the given span.
+    pub fn plan(&mut self, jobs: usize, span: Duration) {
+        let span = span.as_millis() as u64;
+        for n in 0..jobs {
+            let many = if n % 9 == 0 { 120 } else { 6 };
+            let tasks = self.rng.random_range(1..=many);
+            let spec = JobSpec {
+                class: format!("c{}", n % 3),
+                team: if n % 2 == 0 { "a".into() } else { "b".into() },
+                urgency: if n % 3 == 0 { Urgency::Urgent } else { Urgency::Standard },
+                tasks,
+                each: Resources { cpus: [1.0, 2.0, 4.0][n % 3], gpus: 0.0, ram: 4.0 },
+                image: format!("img-{}", n % 4),
+                image_gb: 1.0,
+                rigs: None,
+                zone: if n % 7 == 3 { Some("y".into()) } else { None },
+                one_zone: n % 5 == 1,
+                scatter: n % 5 == 2,
+                spot: n % 4 != 3,
+                estimate: 5.0,
+                checkpoint: 0.0,
+                save: 0.0,
+                due: None,
+            };
+            let id = JobId::parse(&format!("job-{n:06}")).unwrap();
+            self.by_id.insert(id.clone(), n);
+            let runs = self.rng.random_range(1.0..8.0);
+            let job = Job {
+                id,
+                spec,
+                accepted: false,
+                submitted: false,
+                aborting: false,
+                cancelled: None,
+                told: None,
+                done: BTreeSet::new(),
+                runs,
+            };
+            self.jobs.push(job);
+            let at = self.between(500, span);
+            self.at(at, Happening::Submit { job: n });
+            if n % 4 == 1 {
+                let later = at + self.between(0, 15_000);
+                self.at(later, Happening::Abort { job: n });
+            }
+        }
+        let t = self.troubles;
+        for _ in 0..t.crashes {
+            let (at, node) = (self.between(1000, span), self.rng.random_range(0..3));
+            self.at(at, Happening::Crash { node });
+        }
+        for _ in 0..t.all_crash {
+            let at = self.between(1000, span);
+            for node in 0..3 {
+                self.at(at, Happening::Crash { node });
+            }
+        }
+        for _ in 0..t.outages {
+            let (at, last) = (self.between(1000, span), self.between(3000, 25_000));
+            let until = self.now + at + last;
+            self.at(at, Happening::Outage { until });
+        }
+        for _ in 0..t.refusals {
+            let (at, last, node) =
+                (self.between(1000, span), self.between(3000, 25_000), self.rng.random_range(0..3));
+            let until = self.now + at + last;
+            self.at(at, Happening::Refuse { node, until });
+        }
+        for _ in 0..t.cuts {
+            let (at, last) = (self.between(10_000, span), self.between(3000, 40_000));
+            let until = self.now + at + last;
+            self.at(at, Happening::Cut { until });
+        }
+        for _ in 0..t.hangs {
+            let (at, last) = (self.between(10_000, span), self.between(3000, 40_000));
+            let until = self.now + at + last;
+            self.at(at, Happening::Hang { until });
+        }
+        for _ in 0..t.deaths {
+            let at = self.between(10_000, span);
+            self.at(at, Happening::Die);
+        }
+    }
+
+    /// Runs until the time, or until every user has a final answer.
+    pub fn run(&mut self, span: Duration) {
+        let end = EPOCH + span;
+        while let Some(Reverse((at, id))) = self.queue.pop() {
+            if at > end || self.settled() {
+                return;
+            }
+            self.now = self.now.max(at);
+            if let Some(happening) = self.happenings.remove(&id) {
+                self.happen(happening);
+            }
+        }
+    }
+
+    /// Whether all jobs are over for their users.
+    pub fn settled(&self) -> bool {
+        !self.jobs.is_empty() && self.jobs.iter().all(Job::done_or_cancelled)
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Start { node } => {
+                self.boots += 1;
+                let boot = self.boots;
+                self.nodes[node] = Some((boot, Node::new(settings(node, boot))));
+                self.at(ms(1), Happening::Tick { node, boot });
+            }
+            Happening::Crash { node } => {
+                if self.nodes[node].take().is_some() {
+                    self.watches.retain(|w| w.node != node);
+                    let pause =
+                        if self.chance(0.3) { self.between(20, 300) } else { self.between(3000, 6000) };
+                    self.at(pause, Happening::Start { node });
+                }
+            }
+            Happening::Tick { node, boot } => {
+                if self.alive(node, boot) {
+                    self.step(node, Vec::new());
+                    self.at(ms(100), Happening::Tick { node, boot });
+                }
+            }
+            Happening::ToNode { node, boot, event } => {
+                if self.alive(node, boot) {
+                    self.step(node, vec![event]);
+                }
+            }
+            Happening::StateArrives { node, boot, call, op, answered } => {
+                self.state(node, boot, call, op, answered);
+            }
+            Happening::FollowEnds { watch } => {
+                if let Some(at) = self.watches.iter().position(|w| w.id == watch) {
+                    let watch = self.watches.swap_remove(at);
+                    let down = self.now < self.outage || self.now < self.refused[watch.node];
+                    let reply = match down {
+                        true => Err(CallError::Lost),
+                        false => Ok(self.kv.changes(&watch.prefix, watch.after)),
+                    };
+                    self.reply_state(watch.node, watch.boot, watch.call, reply);
+                }
+            }
+            Happening::CloudArrives { node, boot, call, op, answered } => {
+                let reply = self.cloud(op);
+                let event = Event::Cloud { call, reply: if answered { reply } else { Err(CallError::Lost) } };
+                let pause = if answered { ms(50) } else { secs(3) };
+                self.at(pause, Happening::ToNode { node, boot, event });
+            }
+            Happening::OrdersArrive { node, boot, call, host, baton, shift, orders } => {
+                self.orders_arrive(node, boot, call, host, baton, shift, orders);
+            }
+            Happening::Beat { host } => self.beat(host),
+            Happening::BeatAnswered { host, sent, shift, tick, answer } => {
+                self.beat_answered(host, sent, shift, tick, answer);
+            }
+            Happening::BeatGivenUp { host, tick } => {
+                let next = self.rng.random_range(0..3);
+                if let Some(w) = self.workers.get_mut(&host).filter(|w| w.waiting == Some(tick)) {
+                    w.waiting = None;
+                    w.node = next;
+                    self.at(secs(1), Happening::Beat { host });
+                }
+            }
+            Happening::Pulled { host, task, attempt, shift } => self.pulled(host, task, attempt, shift),
+            Happening::Ends { host, task, attempt, shift } => self.task_ends(host, task, attempt, shift),
+            Happening::Unanswered { node, boot, ask, again } => {
+                if self.asks.remove(&(node, boot, ask)).is_some() {
+                    self.happen(*again);
+                }
+            }
+            Happening::Submit { job } => {
+                let j = &mut self.jobs[job];
+                j.submitted = true;
+                let (id, spec) = (j.id.clone(), j.spec.clone());
+                self.ask(
+                    Asked::Submit(job),
+                    |ask| Event::Submit { ask, id, job: Ok(spec) },
+                    Happening::Submit { job },
+                );
+            }
+            Happening::Poll { job } => {
+                let id = self.jobs[job].id.clone();
+                self.ask(Asked::Poll(job), |ask| Event::Poll { ask, id }, Happening::Poll { job });
+            }
+            Happening::Abort { job } => {
+                if self.jobs[job].submitted {
+                    self.jobs[job].aborting = true;
+                }
+                let id = self.jobs[job].id.clone();
+                self.ask(Asked::Abort(job), |ask| Event::Abort { ask, id }, Happening::Abort { job });
+            }
+            Happening::Outage { until } => self.outage = self.outage.max(until),
+            Happening::Refuse { node, until } => self.refused[node] = until,
+            Happening::Cut { until } => self.someone(|w| w.cut = until),
+            Happening::Hang { until } => self.someone(|w| w.hung = until),
+            Happening::Die => self.someone(|w| w.dead = true),
+        }
+        self.expire();
+        self.check();
+    }
+
+    fn someone(&mut self, change: impl Fn(&mut Worker)) {
+        let up: Vec<HostName> =
+            self.workers.values().filter(|w| w.up(self.now)).map(|w| w.name.clone()).collect();
+        if up.is_empty() {
+            return;
+        }
+        let which = self.rng.random_range(0..up.len());
+        if let Some(worker) = self.workers.get_mut(&up[which]) {
+            change(worker);
+        }
+    }
+
+    fn alive(&self, node: usize, boot: u64) -> bool {
+        self.nodes[node].as_ref().is_some_and(|(b, _)| *b == boot)
+    }
+
+    /// Puts a user's or worker's request to a random living node; `again` is
+    /// what the user does if nobody answers.
+    fn ask(&mut self, asked: Asked, event: impl FnOnce(Ask) -> Event, again: Happening) {
+        let node = self.rng.random_range(0..3);
+        let Some((boot, _)) = &self.nodes[node] else {
+            return self.at(secs(1), again);
+        };
+        let boot = *boot;
+        self.last_ask += 1;
+        let ask = self.last_ask;
+        self.asks.insert((node, boot, ask), asked);
+        self.step(node, vec![event(ask)]);
+        let again = Box::new(again);
+        self.at(secs(3), Happening::Unanswered { node, boot, ask, again });
+    }
+
+    fn step(&mut self, node: usize, batch: Vec<Event>) {
+        let now = self.now;
+        let wall = SystemTime::UNIX_EPOCH + now;
+        let Some((boot, core)) = &mut self.nodes[node] else { return };
+        let boot = *boot;
+        let effects = core.step(Times { now, wall }, batch);
+        for effect in effects {
+            self.perform(node, boot, effect);
+        }
+    }
+
+    fn perform(&mut self, node: usize, boot: u64, effect: Effect) {
+        match effect {
+            Effect::Answer { ask, answer } => {
+                if let Some(asked) = self.asks.remove(&(node, boot, ask)) {
+                    self.answered(asked, answer);
+                }
+            }
+            Effect::State { call, op } => {
+                let refused = self.now < self.outage || self.now < self.refused[node];
+                if refused && !matches!(op, StateOp::Follow { .. }) {
+                    return self.reply_state(node, boot, call, Err(CallError::Refused));
+                }
+                let lost = self.chance(self.troubles.lost);
+                let late = lost && self.chance(self.troubles.late);
+                let delay = if late { self.between(2000, 20_000) } else { self.between(2, 15) };
+                if lost {
+                    self.at(
+                        ms(1200),
+                        Happening::ToNode {
+                            node,
+                            boot,
+                            event: Event::State { call, reply: Err(CallError::Lost) },
+                        },
+                    );
+                    if self.chance(0.3) {
+                        return;
+                    }
+                }
+                self.at(delay, Happening::StateArrives { node, boot, call, op, answered: !lost });
+            }
+            Effect::Cloud { call, op } => {
+                let answered = !self.chance(self.troubles.lost);
+                let delay = if answered { ms(100) } else { self.between(100, 20_000) };
+                self.at(delay, Happening::CloudArrives { node, boot, call, op, answered });
+            }
+            Effect::Orders { call, address, baton, shift, orders } => {
+                let host: HostName = address.as_ref().trim_start_matches("at-").into();
+                let delay = self.between(1, 5);
+                self.at(delay, Happening::OrdersArrive { node, boot, call, host, baton, shift, orders });
+            }
+            Effect::Pulse(pulse) => {
+                for other in (0..3).filter(|n| *n != node) {
+                    if let Some((boot, _)) = &self.nodes[other] {
+                        let (boot, event) = (*boot, Event::Pulse(pulse.clone()));
+                        self.at(ms(2), Happening::ToNode { node: other, boot, event });
+                    }
+                }
+            }
+            Effect::Log(_, text) => {
+                if self.log {
+                    println!("{:.3} plank-{node} {text}", (self.now - EPOCH).as_secs_f64());
+                }
+            }
+        }
+    }
+
+    fn reply_state(&mut self, node: usize, boot: u64, call: Call, reply: Result<StateReply, CallError>) {
+        self.at(ms(2), Happening::ToNode { node, boot, event: Event::State { call, reply } });
+    }
+
+    fn state(&mut self, node: usize, boot: u64, call: Call, op: StateOp, answered: bool) {
+        if self.now < self.outage && !matches!(op, StateOp::Follow { .. }) {
+            if answered {
+                self.reply_state(node, boot, call, Err(CallError::Refused));
+            }
+            return;
+        }
+        if let StateOp::Follow { prefix, after, wait } = op {
+            if answered && self.alive(node, boot) {
+                self.sequence += 1;
+                let id = self.sequence;
+                self.watches.push(Watch { id, node, boot, call, prefix, after });
+                self.at(wait, Happening::FollowEnds { watch: id });
+                self.notify();
+            }
+            return;
+        }
+        let reply = self.kv.apply(self.now, op);
+        if answered {
+            self.reply_state(node, boot, call, reply);
+        }
+        self.notify();
+    }
+
+    fn notify(&mut self) {
+        if self.now < self.outage {
+            return;
+        }
+        let (now, refused, kv) = (self.now, self.refused.clone(), &self.kv);
+        let news = |w: &Watch| now >= refused[w.node] && kv.news(&w.prefix, w.after);
+        let (ready, waiting): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.watches).into_iter().partition(news);
+        self.watches = waiting;
+        for watch in ready {
+            let reply = Ok(self.kv.changes(&watch.prefix, watch.after));
+            self.reply_state(watch.node, watch.boot, watch.call, reply);
+        }
+    }
+
+    /// What passes with time alone: grants and workers' leases.
+    fn expire(&mut self) {
+        if self.now < self.outage {
+            self.kv.postpone(self.now);
+        } else if self.kv.expire(self.now) {
+            self.notify();
+        }
+        for worker in self.workers.values_mut() {
+            worker.expire(self.now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -0,0 +1,459 @@
+//! Machines, their workers, the cloud that rents them, and users, as the model
+//! has them; and the rules.
+
+use super::*;
+
+#[derive(Debug, Clone)]
+pub struct Worker {
+    pub name: HostName,
+    pub zone: String,
+    pub spot: bool,
+    pub up_at: Duration,
+    pub dead: bool,
+    pub cut: Duration,
+    pub hung: Duration,
+    pub shift: u64,
+    pub tick: u64,
+    pub token: u64,
+    /// The lease ends when the last answered report is this old.
+    pub leased: Duration,
+    pub tasks: BTreeMap<(TaskId, u64), Seen>,
+    pub node: usize,
+    /// The tick of the report that waits for its answer.
+    pub waiting: Option<u64>,
+    /// Fails every task.
+    pub faulty: bool,
+    hired: Duration,
+}
+
+impl Worker {
+    pub fn up(&self, now: Duration) -> bool {
+        !self.dead && now >= self.up_at
+    }
+
+    pub fn runs(&self) -> impl Iterator<Item = &(TaskId, u64)> {
+        self.tasks.iter().filter(|(_, s)| matches!(s, Seen::Running | Seen::Saving)).map(|(k, _)| k)
+    }
+
+    /// A hanging worker notices only when it goes on.
+    pub fn expire(&mut self, now: Duration) {
+        if self.dead || now < self.hung || now < self.up_at || now <= self.leased + LEASE {
+            return;
+        }
+        self.tasks.clear();
+        self.shift += 1;
+        self.leased = now;
+    }
+
+    fn report(&mut self) -> Report {
+        self.tick += 1;
+        Report {
+            host: self.name.clone(),
+            address: format!("at-{}", self.name).into(),
+            rig: "r".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            shift: self.shift,
+            tick: self.tick,
+            baton: self.token,
+            warning: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, attempt), seen)| Listed { task: task.clone(), attempt: *attempt, seen: *seen })
+                .collect(),
+        }
+    }
+}
+
+impl World {
+    // ----- the cloud -----
+
+    pub(super) fn cloud(&mut self, op: CloudOp) -> Result<CloudReply, CallError> {
+        Ok(match op {
+            CloudOp::Catalog => CloudReply::Catalog(vec![Rig {
+                label: "r".into(),
+                cpus: 8.0,
+                gpus: 0.0,
+                ram: 64.0,
+                cache_gb: 10.0,
+                pull_gb_per_s: 1.0,
+                price: 1.0,
+                spot_price: 0.4,
+                boot: secs(5),
+                zones: vec!["x".into(), "y".into()],
+            }]),
+            CloudOp::List { .. } => {
+                // The list is three seconds old.
+                let lag = secs(3);
+                let now = self.now;
+                let seen = self.workers.values().filter(|w| w.hired + lag <= now);
+                let hosts = seen
+                    .map(|w| ListedHost {
+                        host: w.name.clone(),
+                        address: format!("at-{}", w.name).into(),
+                        rig: "r".into(),
+                        zone: w.zone.clone(),
+                        spot: w.spot,
+                        status: if now >= w.up_at + lag { HostStatus::Running } else { HostStatus::Booting },
+                        held: now - w.hired,
+                    })
+                    .collect();
+                CloudReply::Page { hosts, truncated: false }
+            }
+            CloudOp::Hire { name, zone, spot, count, .. } => {
+                if let Some(hosts) = self.hires.get(&name) {
+                    return Ok(CloudReply::Hired(hosts.clone()));
+                }
+                let held = self.workers.values().filter(|w| w.zone == zone && w.spot == spot).count() as u32;
+                let given = count.min(2u32.saturating_sub(held));
+                if given == 0 {
+                    return Ok(CloudReply::NoCapacity);
+                }
+                let mut hosts: Vec<HostName> = Vec::new();
+                for _ in 0..given {
+                    self.machines += 1;
+                    let host: HostName = format!("i-{:06}", self.machines).into();
+                    let boot = if self.chance(0.05) { secs(100_000) } else { self.between(300, 9000) };
+                    let up_at = self.now + boot;
+                    let worker = Worker {
+                        name: host.clone(),
+                        zone: zone.clone(),
+                        spot,
+                        up_at,
+                        dead: false,
+                        cut: Duration::ZERO,
+                        hung: Duration::ZERO,
+                        shift: 1,
+                        tick: 0,
+                        token: 0,
+                        leased: up_at,
+                        tasks: BTreeMap::new(),
+                        node: self.rng.random_range(0..3),
+                        waiting: None,
+                        faulty: self.rng.random_range(0.0..1.0) < self.troubles.errors,
+                        hired: self.now,
+                    };
+                    self.workers.insert(host.clone(), worker);
+                    self.at(boot, Happening::Beat { host: host.clone() });
+                    hosts.push(host);
+                }
+                self.hires.insert(name, hosts.clone());
+                CloudReply::Hired(hosts)
+            }
+            CloudOp::Release { hosts } => {
+                for host in hosts.iter().filter(|_| !self.troubles.lying_cloud) {
+                    self.workers.remove(host);
+                }
+                CloudReply::Released
+            }
+        })
+    }
+
+    // ----- workers -----
+
+    pub(super) fn beat(&mut self, host: HostName) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&host) else { return };
+        if worker.dead || worker.waiting.is_some() {
+            return;
+        }
+        if now < worker.hung {
+            let pause = worker.hung - now;
+            return self.at(pause, Happening::Beat { host });
+        }
+        worker.expire(now);
+        let report = worker.report();
+        let (node, tick, cut) = (worker.node, worker.tick, now < worker.cut);
+        worker.waiting = Some(tick);
+        let shift = worker.shift;
+        self.at(secs(4), Happening::BeatGivenUp { host: host.clone(), tick });
+        let Some((boot, _)) = &self.nodes[node] else { return };
+        let boot = *boot;
+        self.last_ask += 1;
+        let ask = self.last_ask;
+        let event = Event::Beat { ask, report };
+        let held = if cut { self.workers[&host].cut - now } else { Duration::ZERO };
+        self.asks.insert((node, boot, ask), Asked::Beat { host, sent: now, shift, tick });
+        // A cut holds the report back and delivers it late.
+        self.at(held + ms(1), Happening::ToNode { node, boot, event });
+    }
+
+    pub(super) fn answered(&mut self, asked: Asked, answer: Answer) {
+        match asked {
+            Asked::Beat { host, sent, shift, tick } => {
+                let cut = self.workers.get(&host).is_some_and(|w| self.now < w.cut);
+                if !cut {
+                    self.at(ms(1), Happening::BeatAnswered { host, sent, shift, tick, answer });
+                }
+            }
+            Asked::Submit(job) => self.submit_answered(job, answer),
+            Asked::Poll(job) => self.poll_answered(job, answer),
+            Asked::Abort(job) => self.abort_answered(job, answer),
+        }
+    }
+
+    pub(super) fn beat_answered(
+        &mut self,
+        host: HostName,
+        sent: Duration,
+        shift: u64,
+        tick: u64,
+        answer: Answer,
+    ) {
+        let now = self.now;
+        let next = self.rng.random_range(0..3);
+        let Some(worker) = self.workers.get_mut(&host) else { return };
+        if worker.waiting != Some(tick) || worker.dead || now < worker.hung {
+            return;
+        }
+        worker.waiting = None;
+        let pause = match answer {
+            Answer::Beat { baton, orders } => {
+                worker.expire(now);
+                if worker.shift == shift && baton >= worker.token {
+                    worker.token = baton;
+                    worker.leased = worker.leased.max(sent);
+                    for order in orders {
+                        self.obey(&host, order);
+                    }
+                }
+                REPORT
+            }
+            Answer::Elsewhere { foreman: Some(name) } => {
+                worker.node = name.trim_start_matches("plank-").parse().unwrap();
+                ms(200)
+            }
+            _ => {
+                worker.node = next;
+                secs(1)
+            }
+        };
+        self.at(pause, Happening::Beat { host });
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn orders_arrive(
+        &mut self,
+        node: usize,
+        boot: u64,
+        call: Call,
+        host: HostName,
+        baton: u64,
+        shift: u64,
+        orders: Vec<Order>,
+    ) {
+        let now = self.now;
+        let unanswered = |world: &mut Self| {
+            let event = Event::Orders { call, reply: OrdersReply::Unanswered };
+            world.at(secs(2), Happening::ToNode { node, boot, event });
+        };
+        let Some(worker) = self.workers.get_mut(&host) else { return unanswered(self) };
+        if worker.dead {
+            return unanswered(self);
+        }
+        let held = worker.cut.max(worker.hung);
+        if now < held {
+            // Given up by the sender, and carried out when the worker is back.
+            unanswered(self);
+            let late = Happening::OrdersArrive { node, boot: 0, call, host, baton, shift, orders };
+            return self.at(held - now, late);
+        }
+        worker.expire(now);
+        if baton >= worker.token && shift == worker.shift {
+            worker.token = baton;
+            for order in orders {
+                self.obey(&host, order);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(&host) else { return };
+        let report = worker.report();
+        if boot != 0 {
+            let event = Event::Orders { call, reply: OrdersReply::Answered(report) };
+            self.at(ms(1), Happening::ToNode { node, boot, event });
+        }
+    }
+
+    fn obey(&mut self, host: &HostName, order: Order) {
+        let Some(worker) = self.workers.get_mut(host) else { return };
+        match order {
+            Order::Run { task, attempt } => {
+                let key = (task.clone(), attempt);
+                if worker.tasks.contains_key(&key) {
+                    return;
+                }
+                let busy = worker.tasks.iter().any(|((t, _), s)| *t == task && !matches!(s, Seen::Ended(_)));
+                let live = worker.tasks.iter().filter(|(_, s)| !matches!(s, Seen::Ended(_)));
+                let cpus: f64 = live.map(|((t, _), _)| self.jobs[self.by_id[&t.job]].spec.each.cpus).sum();
+                let need = self.jobs[self.by_id[&task.job]].spec.each.cpus;
+                let seen = match (busy, cpus + need > 8.0) {
+                    (true, _) => Seen::Ended(Cause::Busy),
+                    (_, true) => Seen::Ended(Cause::Full),
+                    _ => Seen::Pulling,
+                };
+                worker.tasks.insert(key, seen);
+                let shift = worker.shift;
+                if seen == Seen::Pulling {
+                    let pull = self.between(0, 1500);
+                    self.at(pull, Happening::Pulled { host: host.clone(), task, attempt, shift });
+                }
+            }
+            Order::Kill { task, attempt, .. } => {
+                if let Some(seen) = worker.tasks.get_mut(&(task, attempt)) {
+                    if !matches!(seen, Seen::Ended(_)) {
+                        *seen = Seen::Ended(Cause::Stopped);
+                    }
+                }
+            }
+            Order::Reap { task, attempt } => {
+                let key = (task, attempt);
+                if matches!(worker.tasks.get(&key), Some(Seen::Ended(_))) {
+                    worker.tasks.remove(&key);
+                }
+            }
+        }
+    }
+
+    /// The image is there: the task starts, and the rules apply.
+    pub(super) fn pulled(&mut self, host: HostName, task: TaskId, attempt: u64, shift: u64) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&host).filter(|w| w.shift == shift && !w.dead) else {
+            return;
+        };
+        if now < worker.hung {
+            let pause = worker.hung - now;
+            return self.at(pause, Happening::Pulled { host, task, attempt, shift });
+        }
+        worker.expire(now);
+        let key = (task.clone(), attempt);
+        if worker.shift != shift || worker.tasks.get(&key) != Some(&Seen::Pulling) {
+            return;
+        }
+        worker.tasks.insert(key, Seen::Running);
+        let (zone, spot, faulty) = (worker.zone.clone(), worker.spot, worker.faulty);
+        let job = &self.jobs[self.by_id[&task.job]];
+        let copies = self.workers.values().flat_map(|w| w.runs()).filter(|(t, _)| *t == task).count();
+        assert!(copies == 1, "ran_twice: {task:?} at {:?}", now - EPOCH);
+        assert!(job.spec.zone.as_ref().is_none_or(|z| *z == zone), "wrong_place: zone");
+        assert!(job.spec.spot || !spot, "wrong_place: spot");
+        let here = |w: &&Worker| w.zone == zone;
+        let of_job = |w: &Worker| w.runs().filter(|(t, _)| t.job == task.job).count() as u32;
+        let in_zone: u32 = self.workers.values().filter(here).map(of_job).sum();
+        let all: u32 = self.workers.values().map(of_job).sum();
+        assert!(!job.spec.one_zone || in_zone == all, "wrong_place: samePlace");
+        assert!(!job.spec.scatter || in_zone <= job.spec.tasks.div_ceil(2), "wrong_place: scatter");
+        let late = job.cancelled.is_some_and(|at| now > at + CANCEL);
+        assert!(!late, "ran_cancelled: {task:?} starts");
+        let runs = Duration::from_secs_f64(job.runs);
+        self.starts += 1;
+        let pause = if faulty { ms(500) } else { runs };
+        self.at(pause, Happening::Ends { host, task, attempt, shift });
+    }
+
+    pub(super) fn task_ends(&mut self, host: HostName, task: TaskId, attempt: u64, shift: u64) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&host).filter(|w| w.shift == shift && !w.dead) else {
+            return;
+        };
+        if now < worker.hung {
+            let pause = worker.hung - now + ms(500);
+            return self.at(pause, Happening::Ends { host, task, attempt, shift });
+        }
+        let faulty = worker.faulty;
+        let Some(seen) = worker.tasks.get_mut(&(task.clone(), attempt)) else { return };
+        if *seen != Seen::Running {
+            return;
+        }
+        *seen = Seen::Ended(if faulty { Cause::Error } else { Cause::Done });
+        if !faulty {
+            let job = self.by_id[&task.job];
+            self.jobs[job].done.insert(task.index);
+        }
+    }
+
+    // ----- users -----
+
+    fn submit_answered(&mut self, job: usize, answer: Answer) {
+        match answer {
+            Answer::Job { status, .. } => {
+                let first = !self.jobs[job].accepted;
+                self.jobs[job].accepted = true;
+                self.tell(job, status);
+                if first {
+                    self.at(secs(1), Happening::Poll { job });
+                    // Some users are not sure that they were understood.
+                    if self.chance(0.2) {
+                        let later = self.between(100, 30_000);
+                        self.at(later, Happening::Submit { job });
+                    }
+                }
+            }
+            Answer::Unavailable { retry } => self.at(retry, Happening::Submit { job }),
+            other => panic!("forgotten: a good submission gets {other:?}"),
+        }
+    }
+
+    fn poll_answered(&mut self, job: usize, answer: Answer) {
+        match answer {
+            Answer::Job { status, .. } => {
+                self.tell(job, status);
+                if !matches!(status, Status::Done | Status::Cancelled) {
+                    self.at(secs(2), Happening::Poll { job });
+                }
+            }
+            Answer::Unavailable { .. } => self.at(secs(2), Happening::Poll { job }),
+            Answer::NotFound => assert!(!self.jobs[job].accepted, "forgotten: {:?}", self.jobs[job].id),
+            other => panic!("a poll gets {other:?}"),
+        }
+    }
+
+    fn abort_answered(&mut self, job: usize, answer: Answer) {
+        match answer {
+            Answer::Job { status, .. } => {
+                assert!(matches!(status, Status::Done | Status::Cancelled), "an abort gets {status:?}");
+                self.tell(job, status);
+            }
+            Answer::NotFound => {
+                assert!(!self.jobs[job].accepted, "forgotten: {:?}", self.jobs[job].id);
+                // Not accepted yet: the user tries again once it is.
+                self.at(secs(2), Happening::Abort { job });
+            }
+            _ => self.at(secs(1), Happening::Abort { job }),
+        }
+    }
+
+    fn tell(&mut self, job: usize, status: Status) {
+        let now = self.now;
+        let j = &mut self.jobs[job];
+        assert!(j.submitted, "invented: {:?}", j.id);
+        if let Some(told @ (Status::Done | Status::Cancelled)) = j.told {
+            assert_eq!(told, status, "went_back: {:?}", j.id);
+        }
+        match status {
+            Status::Done => assert_eq!(j.done.len() as u32, j.spec.tasks, "not_done: {:?}", j.id),
+            Status::Cancelled => {
+                assert!(j.aborting, "went_back: {:?} was not cancelled by its user", j.id);
+                j.cancelled.get_or_insert(now);
+            }
+            _ => {}
+        }
+        j.told = Some(status);
+    }
+
+    // ----- rules that hold at every moment -----
+
+    pub(super) fn check(&self) {
+        let mut cpus: HashMap<&str, f64> = HashMap::new();
+        for worker in self.workers.values().filter(|w| !w.dead) {
+            for (task, _) in worker.runs() {
+                let job = &self.jobs[self.by_id[&task.job]];
+                *cpus.entry(&job.spec.team).or_default() += job.spec.each.cpus;
+                let late = job.cancelled.is_some_and(|at| self.now > at + CANCEL);
+                assert!(!late, "ran_cancelled: {task:?} is still on {}", worker.name);
+            }
+        }
+        for (team, used) in cpus {
+            assert!(used <= CAP + 1e-9, "quota: {team} uses {used}");
+        }
+    }
+}
