--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -1,5 +1,7 @@
 //! The core against the slow plain model of `world`, over seeded histories.
 
+#![allow(clippy::unwrap_used)]
+
 mod world;
 
 use world::{secs, Troubles, World};
