--- a/crates/plankhead-core/src/election.rs
+++ b/crates/plankhead-core/src/election.rs
@@ -15,6 +15,8 @@
 const WATCH: Duration = Duration::from_secs(3);
 /// The pause after a failed attempt to read or to write.
 const PAUSE: Duration = Duration::from_millis(250);
+/// How long a node that stepped down leaves the key to others.
+const ABSTAIN: Duration = Duration::from_secs(8);
 
 /// The value of the key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -234,6 +236,17 @@
         Verdict::None
     }
 
+    /// Steps down of its own will, so that a node that hears the workers can
+    /// lead.
+    pub fn abdicate(&mut self, now: Duration, out: &mut Out) -> Verdict {
+        if let Stage::Leading { hold, .. } = self.stage {
+            out.state(Purpose::Election(Step::Revoke), StateOp::Revoke { hold });
+        }
+        let verdict = self.lost();
+        self.not_before = now + ABSTAIN;
+        verdict
+    }
+
     /// Steps down: the key is somebody else's, or will be.
     pub fn lost(&mut self) -> Verdict {
         self.stage = Stage::Unknown;
--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -254,6 +254,13 @@
         }
     }
 
+    /// Silence up to now was not the machines' fault.
+    pub fn forgive(&mut self, now: Duration) {
+        for machine in self.machines.values_mut() {
+            machine.heard = now;
+        }
+    }
+
     /// Marks machines that must go: silent ones, ones that never came up, ones
     /// that fail everything. `silent` is the longest accepted silence.
     pub fn judge(&mut self, now: Duration, silent: Duration) -> Vec<(HostName, Leaving)> {
--- a/crates/plankhead-core/src/leader.rs
+++ b/crates/plankhead-core/src/leader.rs
@@ -142,6 +142,8 @@
     /// Run time over estimate, by class.
     ratios: HashMap<String, f64>,
     late_due: Duration,
+    /// Whether silence of a machine could be blamed on the machine.
+    sound: bool,
     /// The jobs of the last interval: when each came, and what it was.
     arrivals: VecDeque<(Duration, Arc<JobSpec>)>,
 }
@@ -184,6 +186,7 @@
             image_sizes: HashMap::new(),
             ratios: HashMap::new(),
             late_due: now,
+            sound: true,
             arrivals: VecDeque::new(),
             settings,
         }
@@ -781,7 +784,7 @@
             let op = StateOp::Follow { prefix: "job/".into(), after: epoch, wait: WATCH };
             self.state(Deed::Follow { sent: now }, op, out);
         }
-        self.mind_machines(times, out);
+        self.mind_machines(times, firm, out);
         let sighted = firm && now.saturating_sub(self.fresh) < STALE;
         if sighted && self.dirty {
             self.dirty = false;
@@ -791,8 +794,8 @@
             self.size(times, out);
             self.hire(now, out);
         }
-        self.give_back(now, out);
         if firm {
+            self.give_back(now, out);
             self.flush(now, desk, out);
             self.sweep(now, out);
         }
@@ -809,12 +812,44 @@
         }
     }
 
-    fn mind_machines(&mut self, times: Times, out: &mut Out) {
+    /// Whether some worker was heard lately, or none could be.
+    fn in_contact(&self, now: Duration) -> bool {
+        let recent = self.settings.report * 2 + Duration::from_secs(1);
+        let mut up = self.fleet.machines.values().filter(|m| m.up()).peekable();
+        up.peek().is_none() || up.any(|m| now.saturating_sub(m.heard) < recent)
+    }
+
+    /// Whether no worker at all has been heard for so long that another node
+    /// should try to lead.
+    pub fn isolated(&self, now: Duration) -> bool {
+        let patience = self.settings.report * 3 + Duration::from_secs(2);
+        let up = self.fleet.machines.values().filter(|m| m.up());
+        let last = up.clone().map(|m| m.heard).max();
+        self.stage == Stage::Ready
+            && up.count() > 1
+            && last.is_some_and(|at| now.saturating_sub(at) > patience)
+    }
+
+    fn mind_machines(&mut self, times: Times, firm: bool, out: &mut Out) {
         let now = times.now;
         let silent = (self.settings.report * 5).max(self.settings.lease.mul_f64(0.6));
-        for (host, why) in self.fleet.judge(now, silent) {
-            out.log(Level::Info, format!("gives back {host}: {why:?}"));
-            self.dirty = true;
+        let contact = self.in_contact(now);
+        if firm && contact {
+            if !std::mem::replace(&mut self.sound, true) {
+                self.fleet.forgive(now);
+            }
+            for (host, why) in self.fleet.judge(now, silent) {
+                out.log(Level::Info, format!("gives back {host}: {why:?}"));
+                self.dirty = true;
+            }
+        } else {
+            // A leader that is cut off hears nobody, and its requests to the
+            // cloud may be carried out when the cut ends: it would give back
+            // a whole healthy fleet.
+            self.sound = false;
+        }
+        if !contact {
+            return;
         }
         // A cancelled task that is not proven gone takes its machine along.
         let margin = self.settings.clock_off * 2 + Duration::from_secs(7);
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -297,6 +297,12 @@
         if let Some(leader) = &mut self.leader {
             leader.tick(times, self.election.firm(now), &mut self.desk, &mut self.out);
         }
+        let company = self.siblings.values().any(|(at, _)| now.saturating_sub(*at) < PULSE_LIFE);
+        if company && self.leader.as_ref().is_some_and(|l| l.isolated(now)) {
+            self.out.log(Level::Info, "hears no worker and steps down".into());
+            let verdict = self.election.abdicate(now, &mut self.out);
+            self.verdict(times, verdict);
+        }
         if now >= self.pulse_due {
             self.pulse_due = now + PULSE;
             let progress: Vec<Progress> = match &self.leader {
