--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -86,6 +86,13 @@
         Duration::from_secs_f64((work.image_gb * queue / self.pull_gb_per_s).min(3600.0))
     }
 
+    /// Holds room for a task that waits for this machine's image. Nothing
+    /// smaller slips in meanwhile.
+    fn book(&mut self, at: Duration, work: &Work) {
+        self.free.sub(&work.each);
+        self.running.push(Running { end: at + work.estimate, each: work.each, team: work.team });
+    }
+
     fn take(&mut self, now: Duration, work: &Work) {
         let end = now + self.fetch(work) + work.estimate;
         if self.images.insert(work.image.clone()) {
@@ -130,6 +137,17 @@
     best.map(|(i, _)| i)
 }
 
+/// A busy machine with the image that opens before the fetch on `slot` would
+/// end, and when.
+fn sooner(slots: &[Slot], work: &Work, now: Duration, slot: usize) -> Option<(Duration, usize)> {
+    let fetched = now + slots[slot].fetch(work);
+    let held = |(i, s): (usize, &Slot)| {
+        let holds = s.images.contains(&work.image) && suits(s, work);
+        holds.then(|| s.opens(&work.each, now)).flatten().map(|at| (at, i))
+    };
+    slots.iter().enumerate().filter_map(held).min().filter(|(at, _)| *at < fetched)
+}
+
 /// One pass over the queue: starts what may start now.
 pub fn pass(now: Duration, slots: &mut [Slot], work: &mut [Work], teams: &mut [TeamRoom]) -> Vec<Start> {
     let mut starts = Vec::new();
@@ -151,6 +169,11 @@
                 }
                 break;
             };
+            if let Some((at, w)) = sooner(slots, &work[i], now, s) {
+                slots[w].book(at, &work[i]);
+                work[i].pending -= 1;
+                continue;
+            }
             slots[s].take(now, &work[i]);
             let zone = slots[s].zone.clone();
             work[i].joined(&zone);
