--- a/crates/plankhead-core/src/leader.rs
+++ b/crates/plankhead-core/src/leader.rs
@@ -595,6 +595,9 @@
             self.ended(now, &report.host, &end, out);
             self.dirty = true;
         }
+        if let Some(left) = report.warning {
+            self.leave_in_time(now, &report.host, left, out);
+        }
         if let Some(machine) = self.fleet.machines.get_mut(&report.host) {
             let idle = report.tasks.iter().all(|t| matches!(t.seen, Seen::Ended(_)));
             match (idle && self.ledger.on_host(&report.host).next().is_none(), machine.idle_since) {
@@ -608,6 +611,25 @@
         }
     }
 
+    /// A machine is about to be taken: what can't end before goes elsewhere at
+    /// once instead of being lost.
+    fn leave_in_time(&mut self, now: Duration, host: &HostName, left: Duration, out: &mut Out) {
+        let here: Vec<TaskId> = self.ledger.on_host(host).cloned().collect();
+        for task in here {
+            let (Some(entry), Some(attempt)) = (self.ledger.jobs.get(&task.job), self.ledger.attempt(&task))
+            else {
+                continue;
+            };
+            let begun = attempt.running.unwrap_or(now);
+            let ends = begun + self.estimate(&entry.spec);
+            let lost = attempt.running.is_none() || ends > now + left;
+            if attempt.seen.is_some() && lost {
+                self.ledger.stop(&task);
+            }
+        }
+        self.tell(now, host, out);
+    }
+
     fn ended(&mut self, now: Duration, host: &HostName, end: &Ended, out: &mut Out) {
         let Some(entry) = self.ledger.jobs.get_mut(&end.task.job) else { return };
         let Some(machine) = self.fleet.machines.get_mut(host) else { return };
@@ -671,18 +693,24 @@
         };
         match self.ledger.attempt(task) {
             Some(a) if a.number == attempt && a.host == *host => {
-                if entry.phase != Phase::Live {
-                    return Some(Duration::ZERO);
-                }
-                let saves = entry.spec.checkpoint > 0.0;
-                let save = Duration::from_secs_f64(entry.spec.save.min(3600.0));
-                let leeway = if saves && save <= MOST_LEEWAY { MOST_LEEWAY } else { Duration::ZERO };
-                a.stop.then_some(leeway)
+                (a.stop || entry.phase != Phase::Live).then(|| self.leeway(task))
             }
             _ => Some(Duration::ZERO),
         }
     }
 
+    /// The time that a stopped task has to save, if that is of use.
+    fn leeway(&self, task: &TaskId) -> Duration {
+        let Some(entry) = self.ledger.jobs.get(&task.job) else { return Duration::ZERO };
+        let saves = entry.phase == Phase::Live && entry.spec.checkpoint > 0.0;
+        let save = Duration::from_secs_f64(entry.spec.save.min(3600.0));
+        if saves && save <= MOST_LEEWAY {
+            MOST_LEEWAY
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Durable placements that the worker has not listed yet.
     fn runs<'a>(&'a self, now: Duration, machine: &'a Machine) -> impl Iterator<Item = (TaskId, u64)> + 'a {
         let sighted = now.saturating_sub(self.fresh) < STALE;
@@ -719,7 +747,7 @@
             .filter_map(|t| {
                 let a = self.ledger.attempt(t)?;
                 let cancelled = self.ledger.jobs.get(&t.job)?.phase == Phase::Cancelled;
-                let due = cancelled && !a.kill_told && a.shift == shift;
+                let due = (cancelled || a.stop) && !a.kill_told && a.shift == shift;
                 due.then(|| (t.clone(), a.number))
             })
             .collect();
@@ -728,10 +756,11 @@
         }
         let mut orders: Vec<Order> = Vec::new();
         for (task, attempt) in &kills {
+            let leeway = self.leeway(task);
             if let Some(a) = self.ledger.attempt_mut(task) {
                 a.kill_told = true;
             }
-            orders.push(Order::Kill { task: task.clone(), attempt: *attempt, leeway: Duration::ZERO });
+            orders.push(Order::Kill { task: task.clone(), attempt: *attempt, leeway });
         }
         for (task, attempt) in &runs {
             if let Some(a) = self.ledger.attempt_mut(task) {
