--- a/crates/plankhead-core/src/leader.rs
+++ b/crates/plankhead-core/src/leader.rs
@@ -49,6 +49,8 @@
 const STUCK: Duration = Duration::from_secs(120);
 /// A machine without work goes back after this time at the earliest.
 const IDLE: Duration = Duration::from_secs(3);
+/// Time between rounds while no machine is up yet.
+const COLD_ROUND: Duration = Duration::from_secs(5);
 /// Arrivals remembered for the replay, and the shortest time that they are
 /// taken to tell a rate.
 const MOST_ARRIVALS: usize = 1_000;
@@ -1280,12 +1282,21 @@
         let (_, work) = self.work(now, &teams, &index);
         // The first round waits for something to replay.
         if now >= self.round_due && (self.target.round > 0 || !work.is_empty()) {
-            self.round_due = now + self.settings.sizing.interval;
+            // Before any machine is up, whichever job came first would size the
+            // fleet for a whole interval: rounds follow quickly and only raise.
+            let cold = self.fleet.machines.values().all(|m| m.newest.is_none());
+            let interval = self.settings.sizing.interval;
+            self.round_due = now + if cold { interval.min(COLD_ROUND) } else { interval };
             let mut target =
                 Target { round: self.target.round + 1, at_ms: times.wall_ms(), ..Target::default() };
-            let expected = self.expected(now, &index);
+            // Nor does the rush of the first seconds tell what comes later.
+            let expected = if cold { Vec::new() } else { self.expected(now, &index) };
             for rig in self.fleet.rigs.keys() {
-                let size = self.trial(now, rig, (&work, &expected), &teams, &index);
+                let mut size = self.trial(now, rig, (&work, &expected), &teams, &index);
+                if let Some(before) = self.target.rigs.get(rig).filter(|_| cold) {
+                    size.machines = size.machines.max(before.machines);
+                    size.ordinary = size.ordinary.max(before.ordinary);
+                }
                 target.rigs.insert(rig.clone(), size);
             }
             out.log(Level::Info, format!("round {}: {:?}", target.round, target.rigs));
