--- a/crates/plankhead-core/src/leader.rs
+++ b/crates/plankhead-core/src/leader.rs
@@ -49,6 +49,9 @@
 const STUCK: Duration = Duration::from_secs(120);
 /// A machine without work goes back after this time at the earliest.
 const IDLE: Duration = Duration::from_secs(3);
+/// A worker that got no answer needs 4 s to notice and a second to ask another
+/// node, which sends it here; silent for longer and a report, it is lost.
+const SILENT: Duration = Duration::from_millis(5500);
 /// Time between rounds while no machine is up yet.
 const COLD_ROUND: Duration = Duration::from_secs(5);
 /// Arrivals remembered for the replay, and the shortest time that they are
@@ -863,7 +866,7 @@
 
     fn mind_machines(&mut self, times: Times, firm: bool, out: &mut Out) {
         let now = times.now;
-        let silent = (self.settings.report * 5).max(self.settings.lease.mul_f64(0.6));
+        let silent = self.settings.report + SILENT;
         let contact = self.in_contact(now);
         if firm && contact {
             if !std::mem::replace(&mut self.sound, true) {
