--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -59,7 +59,7 @@
     }
 
     /// The earliest time at which the task would find room.
-    fn opens(&self, each: &Resources, now: Duration) -> Option<Duration> {
+    pub fn opens(&self, each: &Resources, now: Duration) -> Option<Duration> {
         let mut free = self.free;
         let from = self.ready.max(now);
         if each.fits(&free) {
--- a/crates/plankhead-core/src/leader.rs
+++ b/crates/plankhead-core/src/leader.rs
@@ -6,7 +6,7 @@
 use crate::easy::{self, Running, Slot};
 use crate::election;
 use crate::fleet::{Fleet, Leaving, Machine, Pool};
-use crate::job::{JobId, JobRecord, JobSpec, Phase, Resources};
+use crate::job::{JobId, JobRecord, JobSpec, Phase, Resources, Urgency};
 use crate::ledger::{Ended, Entry, Ledger};
 use crate::node::{Out, Purpose, Times};
 use crate::protocol::{
@@ -52,6 +52,12 @@
 /// A worker that got no answer needs 4 s to notice and a second to ask another
 /// node, which sends it here; silent for longer and a report, it is lost.
 const SILENT: Duration = Duration::from_millis(5500);
+/// How long a stopped task takes to be gone, usually.
+const STOPPING: Duration = Duration::from_millis(300);
+/// Tasks stopped for others in one pass at most.
+const MOST_STOPS: usize = 64;
+/// A task that needed more attempts than this is not stopped again.
+const MOST_PREEMPTED: u64 = 2;
 /// Time between rounds while no machine is up yet.
 const COLD_ROUND: Duration = Duration::from_secs(5);
 /// Arrivals remembered for the replay, and the shortest time that they are
@@ -822,7 +828,7 @@
         let sighted = firm && now.saturating_sub(self.fresh) < STALE;
         if sighted && self.dirty {
             self.dirty = false;
-            self.schedule(now);
+            self.schedule(now, out);
         }
         if sighted {
             self.size(times, out);
@@ -1075,7 +1081,10 @@
                 }
             }
             let estimate = self.estimate(&entry.spec);
-            let end = (begin + estimate).max(now + estimate / 5);
+            let end = match attempt.stop {
+                true => now + STOPPING,
+                false => (begin + estimate).max(now + estimate / 5),
+            };
             let team = index.get(entry.spec.team.as_str()).copied().unwrap_or(0);
             slot.free.sub(&entry.spec.each);
             slot.running.push(Running { end, each: entry.spec.each, team });
@@ -1083,7 +1092,7 @@
         Some(slot)
     }
 
-    fn schedule(&mut self, now: Duration) {
+    fn schedule(&mut self, now: Duration, out: &mut Out) {
         let (mut teams, index) = self.teams();
         let (ids, mut work) = self.work(now, &teams, &index);
         if work.is_empty() {
@@ -1103,6 +1112,122 @@
                 }
             }
         }
+        self.preempt(now, &slots, &hosts, &mut work, &mut teams, out);
+    }
+
+    /// Stops lesser work for urgent tasks that would start too late otherwise,
+    /// the least progressed first. What is stopped comes back to the queue.
+    fn preempt(
+        &mut self,
+        now: Duration,
+        slots: &[Slot],
+        hosts: &[(HostName, Option<u64>)],
+        work: &mut [Work],
+        teams: &mut [TeamRoom],
+        out: &mut Out,
+    ) {
+        let mut order: Vec<usize> =
+            (0..work.len()).filter(|i| work[*i].pending > 0 && work[*i].urgency >= Urgency::Urgent).collect();
+        if order.is_empty() {
+            return;
+        }
+        order.sort_by_key(|i| (std::cmp::Reverse(work[*i].urgency), !work[*i].guaranteed, work[*i].due));
+        let mut room: Vec<Resources> = slots.iter().map(|s| s.free).collect();
+        for (place, (host, _)) in hosts.iter().enumerate() {
+            for task in self.ledger.on_host(host) {
+                let stopping = self.ledger.attempt(task).is_some_and(|a| a.stop);
+                if let Some(entry) = self.ledger.jobs.get(&task.job).filter(|_| stopping) {
+                    room[place].add(&entry.spec.each);
+                }
+            }
+        }
+        let mut told: BTreeSet<HostName> = BTreeSet::new();
+        let mut stops = 0;
+        for i in order {
+            let (each, due, urgency) = (work[i].each, work[i].due, work[i].urgency);
+            let opens = slots
+                .iter()
+                .filter(|s| work[i].allows(&s.rig, &s.zone, s.spot))
+                .filter_map(|s| s.opens(&each, now))
+                .min();
+            if opens.is_some_and(|at| at <= due) {
+                continue;
+            }
+            while work[i].pending > 0 && teams[work[i].team].admits(&each) && stops < MOST_STOPS {
+                let mut best: Option<(Duration, usize, Vec<TaskId>)> = None;
+                for (place, (host, shift)) in hosts.iter().enumerate() {
+                    let slot = &slots[place];
+                    let fit =
+                        work[i].allows(&slot.rig, &slot.zone, slot.spot) && work[i].zone_admits(&slot.zone);
+                    if !fit || shift.is_none() || slot.ready > now {
+                        continue;
+                    }
+                    let Some((loss, victims)) = self.victims(now, host, room[place], &each, urgency) else {
+                        continue;
+                    };
+                    if best.as_ref().is_none_or(|(least, ..)| loss < *least) {
+                        best = Some((loss, place, victims));
+                    }
+                }
+                let Some((_, place, victims)) = best else { break };
+                for victim in victims {
+                    if let Some(entry) = self.ledger.jobs.get(&victim.job) {
+                        room[place].add(&entry.spec.each);
+                    }
+                    self.ledger.stop(&victim);
+                    told.insert(hosts[place].0.clone());
+                    stops += 1;
+                }
+                room[place].sub(&each);
+                teams[work[i].team].used.add(&each);
+                let zone = slots[place].zone.clone();
+                work[i].joined(&zone);
+                work[i].pending -= 1;
+            }
+        }
+        for host in told {
+            self.tell(now, &host, out);
+        }
+    }
+
+    /// The least progressed tasks of lesser urgency on a machine that would
+    /// have to stop for one more task, and the progress lost.
+    fn victims(
+        &self,
+        now: Duration,
+        host: &HostName,
+        mut room: Resources,
+        each: &Resources,
+        urgency: Urgency,
+    ) -> Option<(Duration, Vec<TaskId>)> {
+        let mut loss = Duration::ZERO;
+        let mut victims = Vec::new();
+        if each.fits(&room) {
+            return Some((loss, victims));
+        }
+        let mut lesser: Vec<(Duration, &TaskId, Resources)> = Vec::new();
+        for task in self.ledger.on_host(host) {
+            let (Some(entry), Some(attempt)) = (self.ledger.jobs.get(&task.job), self.ledger.attempt(task))
+            else {
+                continue;
+            };
+            let ran = attempt.running.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+            let young = ran < self.estimate(&entry.spec) / 2;
+            let often = attempt.number > MOST_PREEMPTED;
+            if entry.spec.urgency < urgency && attempt.seen.is_some() && !attempt.stop && young && !often {
+                lesser.push((ran, task, entry.spec.each));
+            }
+        }
+        lesser.sort_by_key(|(ran, ..)| *ran);
+        for (ran, task, held) in lesser {
+            room.add(&held);
+            loss += ran;
+            victims.push(task.clone());
+            if each.fits(&room) {
+                return Some((loss, victims));
+            }
+        }
+        None
     }
 
     // ----- writing -----
