--- /dev/null
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -0,0 +1,241 @@
+//! The leader's role: it knows every job, places tasks, minds the workers and
+//! sizes the fleet. Whatever it writes fails once somebody else leads.
+
+mod clock;
+mod placing;
+mod renting;
+mod replies;
+mod takeover;
+mod view;
+mod workers;
+mod writing;
+
+use crate::budget::Bucket;
+use crate::desk::Desk;
+use crate::easy::{self, Running, Slot};
+use crate::election;
+use crate::fleet::{Fleet, Leaving, Machine, Pool};
+use crate::job::{JobId, JobRecord, JobSpec, Phase, Resources, Urgency};
+use crate::ledger::{Ended, Entry, Ledger};
+use crate::node::{Out, Purpose, Times};
+use crate::protocol::{
+    Answer, CallError, Cause, Change, CloudOp, CloudReply, Condition, HostName, KeyEvent, Level, ListedHost,
+    Order, OrdersReply, Progress, Report, Row, Seen, StateOp, StateReply, Status, TaskId,
+};
+use crate::queue::{mark_guaranteed, TeamRoom, Work};
+use crate::replay::{self, Arrival};
+use crate::settings::Settings;
+use crate::sizing;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+const TARGET: &str = "target";
+/// How long the watch on the jobs waits; its return proves that no
+/// cancellation up to its start is unseen.
+const WATCH: Duration = Duration::from_secs(1);
+const PAUSE: Duration = Duration::from_millis(250);
+/// Ends that need no hurry are written together after this time.
+const ENDS_WAIT: Duration = Duration::from_millis(1200);
+/// Transactions under way at most.
+const MOST_TXNS: usize = 4;
+const TXN_BYTES: usize = 56 * 1024;
+/// Jobs that one pass looks at.
+const MOST_WORK: usize = 400;
+/// Orders in one answer to a worker: its lines must stay below 64 KiB.
+const MOST_ORDERS: usize = 300;
+/// Time a saving task is given at the most.
+const MOST_LEEWAY: Duration = Duration::from_secs(10);
+/// While a new leader reads, it keeps the workers' leases for this long.
+const LOAD_PATIENCE: Duration = Duration::from_secs(6);
+/// No starts once the jobs were not seen afresh for this long.
+const STALE: Duration = Duration::from_secs(4);
+/// A worker that refused a task for room is left alone this long.
+const FULL_PAUSE: Duration = Duration::from_secs(2);
+const LATE_SCAN: Duration = Duration::from_secs(5);
+/// A job is stuck when nothing of it has started for this long.
+const STUCK: Duration = Duration::from_secs(120);
+/// A machine without work goes back after this time at the earliest.
+const IDLE: Duration = Duration::from_secs(3);
+/// A worker that got no answer needs 4 s to notice and a second to ask another
+/// node, which sends it here; silent for longer and a report, it is lost.
+const SILENT: Duration = Duration::from_millis(5500);
+/// How long a stopped task takes to be gone, usually.
+const STOPPING: Duration = Duration::from_millis(300);
+/// Tasks stopped for others in one pass at most.
+const MOST_STOPS: usize = 64;
+/// A task that needed more attempts than this is not stopped again.
+const MOST_PREEMPTED: u64 = 2;
+/// Time between rounds while no machine is up yet.
+const COLD_ROUND: Duration = Duration::from_secs(5);
+/// Arrivals remembered for the replay, and the shortest time that they are
+/// taken to tell a rate.
+const MOST_ARRIVALS: usize = 1_000;
+const LEAST_WINDOW: Duration = Duration::from_secs(20);
+
+/// What a leader's call is for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Deed {
+    ListJobs,
+    ListChunks,
+    ReadTarget,
+    Follow { sent: Duration },
+    Write(Batch),
+    ReadChunk(JobId, u32),
+    ReadJob(JobId),
+    Sweep(Vec<String>),
+    Target,
+    Hosts,
+    Hire { name: String, pool: Pool, count: u32 },
+    Release(Vec<HostName>),
+    Orders { host: HostName, shift: u64, runs: Vec<(TaskId, u64)> },
+}
+
+/// What one transaction makes durable.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Batch {
+    chunks: Vec<(JobId, u32, u64)>,
+    finals: Vec<JobId>,
+}
+
+/// A round's decision, as the state service keeps it.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Target {
+    pub round: u64,
+    pub at_ms: u64,
+    pub rigs: BTreeMap<String, Size>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Size {
+    /// Machines of the type.
+    pub machines: u32,
+    /// How many of them must not be spot.
+    pub ordinary: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Loading,
+    Ready,
+}
+
+#[derive(Debug)]
+pub struct Leader {
+    settings: Arc<Settings>,
+    pub baton: u64,
+    began: Duration,
+    stage: Stage,
+    pub ledger: Ledger,
+    pub fleet: Fleet,
+    rows: Vec<(JobId, u32, String, u64)>,
+    page_after: Option<String>,
+    load_due: Option<Duration>,
+    /// The revision up to which the jobs are known; `fresh`: as of when.
+    epoch: Option<u64>,
+    fresh: Duration,
+    following: bool,
+    follow_due: Duration,
+    txns: usize,
+    hold_until: Duration,
+    writes: Bucket,
+    cloud: Bucket,
+    reading: HashSet<String>,
+    garbage: Vec<String>,
+    sweeping: bool,
+    /// Something changed that may let tasks start.
+    dirty: bool,
+    pub target: Target,
+    round_due: Duration,
+    target_dirty: bool,
+    target_writing: bool,
+    hires: u64,
+    hiring: Vec<(String, Pool, u32)>,
+    retry_hires: Vec<(Duration, String, Pool, u32)>,
+    releasing: BTreeSet<HostName>,
+    release_due: Duration,
+    hosts_due: Duration,
+    listing: bool,
+    list: Vec<ListedHost>,
+    image_sizes: HashMap<Arc<str>, f64>,
+    /// Run time over estimate, by class.
+    ratios: HashMap<String, f64>,
+    late_due: Duration,
+    /// Whether silence of a machine could be blamed on the machine.
+    sound: bool,
+    /// The jobs of the last interval: when each came, and what it was.
+    arrivals: VecDeque<(Duration, Arc<JobSpec>)>,
+}
+
+impl Leader {
+    pub fn new(settings: Arc<Settings>, baton: u64, now: Duration) -> Self {
+        Self {
+            baton,
+            began: now,
+            stage: Stage::Loading,
+            ledger: Ledger::default(),
+            fleet: Fleet::default(),
+            rows: Vec::new(),
+            page_after: None,
+            load_due: None,
+            epoch: None,
+            fresh: now,
+            following: false,
+            follow_due: now,
+            txns: 0,
+            hold_until: Duration::ZERO,
+            writes: Bucket::new(settings.write_rps * 0.6, settings.write_rps * 0.5),
+            cloud: Bucket::new(settings.cloud_rps * 0.8, settings.cloud_rps),
+            reading: HashSet::new(),
+            garbage: Vec::new(),
+            sweeping: false,
+            dirty: true,
+            target: Target::default(),
+            round_due: now,
+            target_dirty: false,
+            target_writing: false,
+            hires: 0,
+            hiring: Vec::new(),
+            retry_hires: Vec::new(),
+            releasing: BTreeSet::new(),
+            release_due: now,
+            hosts_due: now,
+            listing: false,
+            list: Vec::new(),
+            image_sizes: HashMap::new(),
+            ratios: HashMap::new(),
+            late_due: now,
+            sound: true,
+            arrivals: VecDeque::new(),
+            settings,
+        }
+    }
+
+    fn state(&self, deed: Deed, op: StateOp, out: &mut Out) {
+        out.state(Purpose::Leader(self.baton, deed), op);
+    }
+
+    /// The condition under which alone the leader writes.
+    fn lead(&self) -> Condition {
+        Condition { key: election::KEY.into(), stamp: self.baton }
+    }
+}
+
+/// A transaction in the making.
+#[derive(Debug, Default)]
+struct Txn {
+    conditions: Vec<Condition>,
+    changes: Vec<Change>,
+    batch: Batch,
+    bytes: usize,
+}
+
+impl Txn {
+    fn condition(&mut self, condition: Condition) {
+        if !self.conditions.contains(&condition) {
+            self.bytes += condition.key.len() + 40;
+            self.conditions.push(condition);
+        }
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -0,0 +1,202 @@
+//! What comes back from the state service, the cloud and workers.
+
+use super::*;
+
+impl Leader {
+    /// Handles a reply of the state service; false: somebody else leads.
+    pub fn state_reply(
+        &mut self,
+        times: Times,
+        deed: Deed,
+        reply: Result<StateReply, CallError>,
+        desk: &mut Desk,
+        out: &mut Out,
+    ) -> bool {
+        let now = times.now;
+        match deed {
+            Deed::ListJobs => self.loaded_jobs(times, reply, desk, out),
+            Deed::ListChunks => self.loaded_chunks(times, reply, out),
+            Deed::ReadTarget => self.loaded_target(times, reply, out),
+            Deed::Follow { sent } => {
+                self.following = false;
+                match reply {
+                    Ok(StateReply::Events { epoch, events }) => {
+                        for event in events {
+                            if let KeyEvent::Written(row) = event {
+                                self.job_row(times, &row, desk);
+                            }
+                        }
+                        self.epoch = self.epoch.max(Some(epoch));
+                        self.fresh = self.fresh.max(sent);
+                        self.tell_kills(out);
+                    }
+                    Ok(StateReply::Compacted) => return false,
+                    _ => self.follow_due = now + PAUSE,
+                }
+            }
+            Deed::Write(batch) => return self.written(times, batch, reply, desk, out),
+            Deed::ReadChunk(id, number) => {
+                self.reading.remove(&id.chunk_key(number));
+                if let Ok(StateReply::Got(row)) = reply {
+                    self.ledger.restamp(&id, number, row.map_or(0, |r| r.stamp));
+                } else {
+                    self.hold_until = now + PAUSE;
+                }
+            }
+            Deed::ReadJob(id) => {
+                self.reading.remove(&id.key());
+                match reply {
+                    Ok(StateReply::Got(Some(row))) => self.job_row(times, &row, desk),
+                    Ok(StateReply::Got(None)) => {
+                        out.log(Level::Error, format!("the record of {id} is missing"));
+                        self.hold_until = now + PAUSE;
+                    }
+                    _ => self.hold_until = now + PAUSE,
+                }
+            }
+            Deed::Sweep(keys) => {
+                self.sweeping = false;
+                match reply {
+                    Ok(StateReply::Committed { .. }) => {}
+                    Ok(StateReply::Conflict { .. }) => return false,
+                    _ => self.garbage.extend(keys),
+                }
+            }
+            Deed::Target => {
+                self.target_writing = false;
+                match reply {
+                    Ok(StateReply::Committed { .. }) => {}
+                    Ok(StateReply::Conflict { .. }) => return false,
+                    _ => self.target_dirty = true,
+                }
+            }
+            _ => {}
+        }
+        true
+    }
+
+    pub(super) fn written(
+        &mut self,
+        times: Times,
+        batch: Batch,
+        reply: Result<StateReply, CallError>,
+        desk: &mut Desk,
+        out: &mut Out,
+    ) -> bool {
+        let now = times.now;
+        self.txns -= 1;
+        let (mut failed, mut lost) = (Vec::new(), false);
+        match reply {
+            Ok(StateReply::Committed { epoch }) => {
+                let mut hosts = BTreeSet::new();
+                for (id, number, version) in &batch.chunks {
+                    hosts.extend(self.ledger.committed(id, *number, *version, epoch));
+                }
+                for id in &batch.finals {
+                    if let Some(entry) = self.ledger.remove(id) {
+                        desk.over(id, Status::Done, entry.spec.tasks);
+                    }
+                }
+                for host in hosts {
+                    self.tell(now, &host, out);
+                }
+                return true;
+            }
+            Ok(StateReply::Conflict { failed: keys }) => failed = keys,
+            Err(CallError::Refused) => self.hold_until = now + PAUSE,
+            _ => lost = true,
+        }
+        if failed.iter().any(|k| k == election::KEY) {
+            return false;
+        }
+        // A transaction whose reply was lost may still be applied: before the
+        // next write, the stamps are read again.
+        for (id, number, _) in &batch.chunks {
+            let stale = lost || failed.contains(&id.chunk_key(*number));
+            self.ledger.write_failed(id, *number, stale);
+        }
+        let jobs = batch.chunks.iter().map(|(id, ..)| id).chain(&batch.finals);
+        for id in jobs {
+            if let Some(entry) = self.ledger.jobs.get_mut(id) {
+                entry.stale |= failed.contains(&id.key());
+                if batch.finals.contains(id) {
+                    entry.finishing = false;
+                    entry.stale |= lost;
+                }
+            }
+        }
+        true
+    }
+
+    pub fn cloud_reply(
+        &mut self,
+        times: Times,
+        deed: Deed,
+        reply: Result<CloudReply, CallError>,
+        out: &mut Out,
+    ) {
+        let now = times.now;
+        match (deed, reply) {
+            (Deed::Hosts, Ok(CloudReply::Page { hosts, truncated })) => {
+                self.listing = false;
+                self.list.extend(hosts);
+                if truncated {
+                    self.hosts_due = now;
+                } else {
+                    let list = std::mem::take(&mut self.list);
+                    self.fleet.listed(&list, now);
+                }
+            }
+            (Deed::Hosts, _) => {
+                self.listing = false;
+                self.list.clear();
+            }
+            (Deed::Hire { name, pool, count }, Ok(CloudReply::Hired(hosts))) => {
+                self.hiring.retain(|(n, ..)| *n != name);
+                self.fleet.hired(&hosts, &pool, count, now);
+            }
+            (Deed::Hire { name, pool, .. }, Ok(CloudReply::NoCapacity)) => {
+                self.hiring.retain(|(n, ..)| *n != name);
+                self.fleet.refused(&pool, now);
+                out.log(Level::Debug, format!("no capacity in {} (spot: {})", pool.zone, pool.spot));
+            }
+            // In doubt, the same name is used again: it rents once at most.
+            (Deed::Hire { name, pool, count }, _) => {
+                self.retry_hires.push((now + PAUSE * 4, name, pool, count));
+            }
+            (Deed::Release(hosts), Ok(CloudReply::Released)) => {
+                for host in hosts {
+                    self.releasing.remove(&host);
+                    self.fleet.released(&host);
+                    let freed = self.ledger.host_gone(&host, now);
+                    if freed > 0 {
+                        out.log(Level::Debug, format!("{host} is gone with {freed} tasks"));
+                    }
+                }
+                self.dirty = true;
+            }
+            (Deed::Release(hosts), _) => {
+                for host in hosts {
+                    self.releasing.remove(&host);
+                }
+                self.release_due = now + PAUSE * 2;
+            }
+            _ => {}
+        }
+    }
+
+    pub fn orders_reply(&mut self, times: Times, deed: Deed, reply: OrdersReply, out: &mut Out) {
+        let Deed::Orders { host, shift, runs } = deed else { return };
+        let Some(machine) = self.fleet.machines.get_mut(&host) else { return };
+        machine.busy = false;
+        if !matches!(reply, OrdersReply::Unanswered) {
+            machine.haunted.retain(|(t, n, s)| *s != shift || !runs.contains(&(t.clone(), *n)));
+        }
+        if let OrdersReply::Answered(report) = reply {
+            if report.host == host && self.fleet.observe(&report, times.now) {
+                self.observe(times, &report, out);
+            }
+        }
+        self.tell(times.now, &host, out);
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -0,0 +1,160 @@
+//! Taking over: a new leader reads all that is known.
+
+use super::*;
+
+impl Leader {
+    pub fn load(&mut self, now: Duration, out: &mut Out) {
+        if self.epoch.is_none() {
+            self.fresh = now;
+        }
+        let after = self.page_after.clone();
+        self.state(Deed::ListJobs, StateOp::List { prefix: "job/".into(), after }, out);
+    }
+
+    pub(super) fn list_chunks(&mut self, out: &mut Out) {
+        let after = self.page_after.clone();
+        self.state(Deed::ListChunks, StateOp::List { prefix: "run/".into(), after }, out);
+    }
+
+    pub(super) fn loaded_jobs(
+        &mut self,
+        times: Times,
+        reply: Result<StateReply, CallError>,
+        desk: &mut Desk,
+        out: &mut Out,
+    ) {
+        let Ok(StateReply::Page { rows, truncated, epoch }) = reply else {
+            self.load_due = Some(times.now + PAUSE);
+            return;
+        };
+        self.epoch.get_or_insert(epoch);
+        self.page_after = rows.last().map(|r| r.key.clone());
+        for row in &rows {
+            self.job_row(times, row, desk);
+        }
+        if truncated {
+            return self.load(times.now, out);
+        }
+        self.page_after = None;
+        self.list_chunks(out);
+    }
+
+    pub(super) fn loaded_chunks(
+        &mut self,
+        times: Times,
+        reply: Result<StateReply, CallError>,
+        out: &mut Out,
+    ) {
+        let Ok(StateReply::Page { rows, truncated, .. }) = reply else {
+            self.load_due = Some(times.now + PAUSE);
+            return;
+        };
+        self.page_after = rows.last().map(|r| r.key.clone());
+        for row in rows {
+            let mut parts = row.key.splitn(3, '/').skip(1);
+            let id = parts.next().and_then(|id| JobId::parse(id).ok());
+            let number = parts.next().and_then(|n| n.parse::<u32>().ok());
+            match (id, number) {
+                (Some(id), Some(_)) if !self.ledger.jobs.contains_key(&id) => {
+                    self.garbage.push(row.key);
+                }
+                (Some(id), Some(number)) => self.rows.push((id, number, row.value, row.stamp)),
+                _ => out.log(Level::Error, format!("strange key {}", row.key)),
+            }
+        }
+        if truncated {
+            return self.list_chunks(out);
+        }
+        self.page_after = None;
+        self.state(Deed::ReadTarget, StateOp::Get { key: TARGET.into() }, out);
+    }
+
+    pub(super) fn loaded_target(
+        &mut self,
+        times: Times,
+        reply: Result<StateReply, CallError>,
+        out: &mut Out,
+    ) {
+        let Ok(StateReply::Got(row)) = reply else {
+            self.load_due = Some(times.now + PAUSE);
+            return;
+        };
+        let now = times.now;
+        for (id, number, value, stamp) in std::mem::take(&mut self.rows) {
+            if let Err(error) = self.ledger.load_chunk(&id, number, &value, stamp, now) {
+                // Nothing may be started for a job whose attempts are unknown.
+                out.log(Level::Error, format!("placements of {id} can't be read: {error}"));
+                self.ledger.remove(&id);
+            }
+        }
+        self.ledger.loaded();
+        if let Some(target) = row.and_then(|r| serde_json::from_str::<Target>(&r.value).ok()) {
+            let at = times.at_wall(target.at_ms);
+            self.round_due = (at + self.settings.sizing.interval).min(now + self.settings.sizing.interval);
+            self.target = target;
+        }
+        for machine in self.fleet.machines.values_mut() {
+            machine.heard = machine.heard.max(now);
+        }
+        for host in self.ledger_hosts() {
+            self.fleet.expect(&host, now);
+        }
+        self.stage = Stage::Ready;
+        let reports: Vec<Report> = self.fleet.machines.values().filter_map(|m| m.report.clone()).collect();
+        for report in reports {
+            self.observe(times, &report, out);
+        }
+        out.log(
+            Level::Info,
+            format!(
+                "took over {} jobs and {} machines in {} ms",
+                self.ledger.jobs.len(),
+                self.fleet.machines.len(),
+                now.saturating_sub(self.began).as_millis()
+            ),
+        );
+        self.dirty = true;
+    }
+
+    pub(super) fn ledger_hosts(&self) -> Vec<HostName> {
+        self.ledger.hosts().cloned().collect()
+    }
+
+    /// Takes in a job's row from the state service.
+    pub fn job_row(&mut self, times: Times, row: &Row, desk: &mut Desk) {
+        let Some(id) = row.key.strip_prefix("job/").and_then(|id| JobId::parse(id).ok()) else { return };
+        let Ok(record) = serde_json::from_str::<JobRecord>(&row.value) else { return };
+        match record.phase {
+            Phase::Done => {
+                desk.over(&id, Status::Done, record.tasks);
+                if let Some(entry) = self.ledger.remove(&id) {
+                    self.discard(&id, &entry);
+                }
+                return;
+            }
+            Phase::Cancelled => desk.over(&id, Status::Cancelled, 0),
+            Phase::Live => {}
+        }
+        let accepted = times.at_wall(record.accepted_ms);
+        let cancelled = record.cancelled_ms.map(|ms| times.at_wall(ms));
+        if let Some(spec) = &record.spec {
+            self.image_sizes.insert(spec.image.as_str().into(), spec.image_gb);
+        }
+        let per_chunk = record.per_chunk.max(1);
+        if record.phase == Phase::Live && !self.ledger.jobs.contains_key(&id) {
+            if let Some(spec) = &record.spec {
+                self.arrivals.push_back((accepted, Arc::new(spec.clone())));
+                if self.arrivals.len() > MOST_ARRIVALS {
+                    self.arrivals.pop_front();
+                }
+            }
+        }
+        self.ledger.upsert(&id, record, row.stamp, accepted, cancelled, per_chunk);
+        self.dirty = true;
+    }
+
+    pub(super) fn discard(&mut self, id: &JobId, entry: &Entry) {
+        let stored = entry.chunks.iter().filter(|(_, c)| c.stamp > 0 || c.stale);
+        self.garbage.extend(stored.map(|(n, _)| id.chunk_key(*n)));
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/leader/view.rs
@@ -0,0 +1,90 @@
+//! What users and operators see of the leader.
+
+use super::*;
+
+impl Leader {
+    pub fn progress(&self, id: &JobId) -> Option<(u32, u32)> {
+        self.ledger.jobs.get(id).map(|e| (e.done, e.running))
+    }
+
+    pub fn all_progress(&self, most: usize) -> Vec<Progress> {
+        let moving =
+            self.ledger.jobs.iter().filter(|(_, e)| e.done + e.running > 0 && e.phase == Phase::Live);
+        moving
+            .take(most)
+            .map(|(id, e)| Progress { id: id.to_string(), done: e.done, running: e.running })
+            .collect()
+    }
+
+    /// Past its deadline, or past what its class expects.
+    pub(super) fn late(&self, entry: &Entry, now: Duration) -> bool {
+        let expected = self.settings.expectations.get(&entry.spec.class).copied().unwrap_or_default();
+        let deadline = entry.spec.due.map(|d| Duration::from_secs_f64(d.min(1e7)));
+        [deadline, expected.finished].into_iter().flatten().any(|within| now > entry.accepted + within)
+    }
+
+    pub(super) fn stuck(&self, entry: &Entry, now: Duration) -> bool {
+        let idle = entry.running == 0 && entry.placed == 0;
+        idle && now.saturating_sub(entry.accepted) > STUCK || entry.error_hosts.len() > 1
+    }
+
+    pub(super) fn tell_late(&mut self, now: Duration, out: &mut Out) {
+        if now < self.late_due {
+            return;
+        }
+        self.late_due = now + LATE_SCAN;
+        let live = |e: &Entry| e.phase == Phase::Live && !e.told_late;
+        let news: Vec<(JobId, bool, bool)> = self
+            .ledger
+            .jobs
+            .iter()
+            .filter(|(_, e)| live(e))
+            .map(|(id, e)| (id.clone(), self.late(e, now), self.stuck(e, now)))
+            .filter(|(_, late, stuck)| *late || *stuck)
+            .collect();
+        for (id, late, stuck) in news {
+            if let Some(entry) = self.ledger.jobs.get_mut(&id) {
+                entry.told_late = true;
+                let what = if stuck { "is stuck" } else { "is late" };
+                let age = now.saturating_sub(entry.accepted).as_secs();
+                out.log(
+                    Level::Info,
+                    format!(
+                        "{id} {what} after {age} s: {} of {} done (late: {late})",
+                        entry.done, entry.spec.tasks
+                    ),
+                );
+            }
+        }
+    }
+
+    pub fn view(&self, times: Times) -> serde_json::Value {
+        let now = times.now;
+        let jobs: Vec<_> = self
+            .ledger
+            .jobs
+            .iter()
+            .filter(|(_, e)| e.phase == Phase::Live && (self.late(e, now) || self.stuck(e, now)))
+            .take(1000)
+            .map(|(id, e)| {
+                serde_json::json!({
+                    "nameId": id, "lane": e.spec.class, "crew": e.spec.team, "urgency": e.spec.urgency,
+                    "ageS": now.saturating_sub(e.accepted).as_secs_f64(),
+                    "pieces": e.spec.tasks, "done": e.done, "running": e.running,
+                    "late": self.late(e, now), "stuck": self.stuck(e, now),
+                    "failedOn": e.error_hosts.iter().map(|h| h.as_ref()).collect::<Vec<&str>>(),
+                })
+            })
+            .collect();
+        let up = self.fleet.machines.values().filter(|m| m.up()).count();
+        serde_json::json!({
+            "baton": self.baton,
+            "ready": self.stage == Stage::Ready,
+            "jobs": self.ledger.jobs.len(),
+            "machines": {"held": self.fleet.machines.len(), "up": up},
+            "target": self.target,
+            "blindS": now.saturating_sub(self.fresh).as_secs_f64(),
+            "lateOrStuck": jobs,
+        })
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -0,0 +1,257 @@
+//! Reports of workers and orders for them.
+
+use super::*;
+
+impl Leader {
+    /// Whether workers may still be answered: their leases must run out before
+    /// a cancellation that we could not see is due.
+    pub(super) fn may_answer(&self, now: Duration) -> bool {
+        let s = &self.settings;
+        let blind = now.saturating_sub(self.fresh);
+        let bound = s.cancel.saturating_sub(s.lease + Duration::from_secs(2));
+        match self.stage {
+            Stage::Loading => now.saturating_sub(self.began) < LOAD_PATIENCE.min(bound),
+            Stage::Ready => blind < bound,
+        }
+    }
+
+    pub fn beat(&mut self, times: Times, report: Report, desk: &Desk, out: &mut Out) -> Answer {
+        let now = times.now;
+        if !self.may_answer(now) || self.fleet.is_gone(&report.host) {
+            return Answer::Unavailable { retry: Duration::from_secs(1) };
+        }
+        let host = report.host.clone();
+        if self.fleet.observe(&report, now) && self.stage == Stage::Ready {
+            self.observe(times, &report, out);
+        }
+        let orders = match self.stage {
+            Stage::Loading => Vec::new(),
+            Stage::Ready => self.orders(now, &host, desk),
+        };
+        Answer::Beat { baton: self.baton, orders }
+    }
+
+    /// Draws the conclusions from a new report.
+    pub(super) fn observe(&mut self, times: Times, report: &Report, out: &mut Out) {
+        let now = times.now;
+        let ended = self.ledger.observe(report, now);
+        for listed in &report.tasks {
+            if listed.seen != Seen::Running {
+                continue;
+            }
+            if let Some(entry) = self.ledger.jobs.get(&listed.task.job) {
+                let (image, gb) = (entry.spec.image.as_str().into(), entry.spec.image_gb);
+                self.fleet.imaged(&report.host, &image, gb, &self.image_sizes);
+            }
+        }
+        for end in ended {
+            self.ended(now, &report.host, &end, out);
+            self.dirty = true;
+        }
+        if let Some(left) = report.warning {
+            self.leave_in_time(now, &report.host, left, out);
+        }
+        if let Some(machine) = self.fleet.machines.get_mut(&report.host) {
+            let idle = report.tasks.iter().all(|t| matches!(t.seen, Seen::Ended(_)));
+            match (idle && self.ledger.on_host(&report.host).next().is_none(), machine.idle_since) {
+                (true, None) => {
+                    machine.idle_since = Some(now);
+                    self.dirty = true;
+                }
+                (false, Some(_)) => machine.idle_since = None,
+                _ => {}
+            }
+        }
+    }
+
+    /// A machine is about to be taken: what can't end before goes elsewhere at
+    /// once instead of being lost.
+    pub(super) fn leave_in_time(&mut self, now: Duration, host: &HostName, left: Duration, out: &mut Out) {
+        let here: Vec<TaskId> = self.ledger.on_host(host).cloned().collect();
+        for task in here {
+            let (Some(entry), Some(attempt)) = (self.ledger.jobs.get(&task.job), self.ledger.attempt(&task))
+            else {
+                continue;
+            };
+            let begun = attempt.running.unwrap_or(now);
+            let ends = begun + self.estimate(&entry.spec);
+            let lost = attempt.running.is_none() || ends > now + left;
+            if attempt.seen.is_some() && lost {
+                self.ledger.stop(&task);
+            }
+        }
+        self.tell(now, host, out);
+    }
+
+    pub(super) fn ended(&mut self, now: Duration, host: &HostName, end: &Ended, out: &mut Out) {
+        let Some(entry) = self.ledger.jobs.get_mut(&end.task.job) else { return };
+        let Some(machine) = self.fleet.machines.get_mut(host) else { return };
+        match end.cause {
+            Some(Cause::Done) => {
+                machine.errors = 0;
+                entry.errors = 0;
+                entry.error_hosts.clear();
+                if let Some(ran) = end.ran.filter(|_| entry.spec.estimate > 0.5) {
+                    let ratio = (ran.as_secs_f64() / entry.spec.estimate).clamp(0.2, 5.0);
+                    let mean = self.ratios.entry(entry.spec.class.clone()).or_insert(1.0);
+                    *mean += 0.1 * (ratio - *mean);
+                }
+            }
+            Some(Cause::Error) => {
+                entry.errors += 1;
+                entry.error_hosts.insert(host.clone());
+                // A job that fails on every machine is the job's fault.
+                if entry.error_hosts.len() < 3 {
+                    machine.errors += 1;
+                }
+                let wait = Duration::from_secs(1 << entry.errors.min(6));
+                if entry.error_hosts.len() > 1 {
+                    entry.not_before = now + wait;
+                }
+                out.log(Level::Debug, format!("{}/{} failed on {host}", end.task.job, end.task.index));
+            }
+            Some(Cause::Full | Cause::Busy) => machine.full_until = now + FULL_PAUSE,
+            Some(Cause::Unknown) => entry.not_before = now + Duration::from_secs(1),
+            Some(Cause::Stopped) | None => {}
+        }
+    }
+
+    /// Orders for a machine, by its newest report.
+    pub(super) fn orders(&self, now: Duration, host: &HostName, desk: &Desk) -> Vec<Order> {
+        let Some(machine) = self.fleet.machines.get(host) else { return Vec::new() };
+        let Some(report) = &machine.report else { return Vec::new() };
+        let mut orders = Vec::new();
+        for listed in &report.tasks {
+            let (task, attempt) = (listed.task.clone(), listed.attempt);
+            if matches!(listed.seen, Seen::Ended(_)) {
+                // A direct `run` under way would start a forgotten attempt anew.
+                let haunted = machine.haunted.iter().any(|(t, n, _)| *t == task && *n == attempt);
+                let over = !self.ledger.jobs.contains_key(&task.job) && desk.is_over(&task.job);
+                if !haunted && (over || self.ledger.may_reap(&task, attempt)) {
+                    orders.push(Order::Reap { task, attempt });
+                }
+            } else if let Some(leeway) = self.unwanted(host, &task, attempt, desk) {
+                orders.push(Order::Kill { task, attempt, leeway });
+            }
+        }
+        orders.extend(self.runs(now, machine).map(|(task, attempt)| Order::Run { task, attempt }));
+        orders.truncate(MOST_ORDERS);
+        orders
+    }
+
+    /// Whether a listed attempt must go, and how much time it has to save.
+    pub(super) fn unwanted(
+        &self,
+        host: &HostName,
+        task: &TaskId,
+        attempt: u64,
+        desk: &Desk,
+    ) -> Option<Duration> {
+        let Some(entry) = self.ledger.jobs.get(&task.job) else {
+            return desk.is_over(&task.job).then_some(Duration::ZERO);
+        };
+        match self.ledger.attempt(task) {
+            Some(a) if a.number == attempt && a.host == *host => {
+                (a.stop || entry.phase != Phase::Live).then(|| self.leeway(task))
+            }
+            _ => Some(Duration::ZERO),
+        }
+    }
+
+    /// The time that a stopped task has to save, if that is of use.
+    pub(super) fn leeway(&self, task: &TaskId) -> Duration {
+        let Some(entry) = self.ledger.jobs.get(&task.job) else { return Duration::ZERO };
+        let saves = entry.phase == Phase::Live && entry.spec.checkpoint > 0.0;
+        let save = Duration::from_secs_f64(entry.spec.save.min(3600.0));
+        if saves && save <= MOST_LEEWAY {
+            MOST_LEEWAY
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Durable placements that the worker has not listed yet.
+    pub(super) fn runs<'a>(
+        &'a self,
+        now: Duration,
+        machine: &'a Machine,
+    ) -> impl Iterator<Item = (TaskId, u64)> + 'a {
+        let sighted = now.saturating_sub(self.fresh) < STALE;
+        let shift = machine.shift();
+        self.ledger.on_host(&machine.name).filter_map(move |task| {
+            let attempt = self.ledger.attempt(task)?;
+            let live = self.ledger.jobs.get(&task.job)?.phase == Phase::Live;
+            let due = live
+                && sighted
+                && Some(attempt.shift) == shift
+                && attempt.seen.is_none()
+                && !attempt.stop
+                && self.ledger.written(task);
+            due.then(|| (task.clone(), attempt.number))
+        })
+    }
+
+    /// Sends a machine what it should hear at once: starts, each once, and
+    /// kills, each once. The answers to reports repeat what got lost.
+    pub(super) fn tell(&mut self, now: Duration, host: &HostName, out: &mut Out) {
+        if !self.may_answer(now) {
+            return;
+        }
+        let Some(machine) = self.fleet.machines.get(host) else { return };
+        let Some(shift) = machine.shift() else { return };
+        if machine.busy || machine.address.is_empty() || machine.leaving.is_some() {
+            return;
+        }
+        let told = |t: &TaskId| self.ledger.attempt(t).is_some_and(|a| a.told);
+        let runs: Vec<(TaskId, u64)> = self.runs(now, machine).filter(|(t, _)| !told(t)).collect();
+        let kills: Vec<(TaskId, u64)> = self
+            .ledger
+            .on_host(host)
+            .filter_map(|t| {
+                let a = self.ledger.attempt(t)?;
+                let cancelled = self.ledger.jobs.get(&t.job)?.phase == Phase::Cancelled;
+                let due = (cancelled || a.stop) && !a.kill_told && a.shift == shift;
+                due.then(|| (t.clone(), a.number))
+            })
+            .collect();
+        if runs.is_empty() && kills.is_empty() {
+            return;
+        }
+        let mut orders: Vec<Order> = Vec::new();
+        for (task, attempt) in &kills {
+            let leeway = self.leeway(task);
+            if let Some(a) = self.ledger.attempt_mut(task) {
+                a.kill_told = true;
+            }
+            orders.push(Order::Kill { task: task.clone(), attempt: *attempt, leeway });
+        }
+        for (task, attempt) in &runs {
+            if let Some(a) = self.ledger.attempt_mut(task) {
+                a.told = true;
+            }
+            orders.push(Order::Run { task: task.clone(), attempt: *attempt });
+        }
+        let Some(machine) = self.fleet.machines.get_mut(host) else { return };
+        machine.busy = true;
+        machine.haunted.extend(runs.iter().map(|(t, n)| (t.clone(), *n, shift)));
+        let address = machine.address.clone();
+        let deed = Deed::Orders { host: host.clone(), shift, runs };
+        out.orders(Purpose::Leader(self.baton, deed), address, self.baton, shift, orders);
+    }
+
+    /// Kills what was cancelled, without waiting for the workers' reports.
+    pub(super) fn tell_kills(&mut self, out: &mut Out) {
+        let hosts: BTreeSet<HostName> = self
+            .ledger
+            .jobs
+            .iter()
+            .filter(|(_, e)| e.phase == Phase::Cancelled && e.placed > 0)
+            .flat_map(|(_, e)| self.ledger.placements(e))
+            .filter(|a| !a.kill_told)
+            .map(|a| a.host.clone())
+            .collect();
+        for host in hosts {
+            self.tell(self.fresh, &host, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/leader/writing.rs
@@ -0,0 +1,163 @@
+//! Making decisions durable, within the write budget.
+
+use super::*;
+
+impl Leader {
+    /// Sends transactions: placements first, then finished jobs, then ends.
+    pub(super) fn flush(&mut self, now: Duration, desk: &mut Desk, out: &mut Out) {
+        if now < self.hold_until {
+            return;
+        }
+        self.refresh(out);
+        self.close_cancelled(desk);
+        while self.txns < MOST_TXNS {
+            let most = self.settings.txn_ops.min(self.writes.available(now));
+            if most == 0 {
+                return;
+            }
+            let mut txn = Txn { conditions: vec![self.lead()], ..Txn::default() };
+            self.add_chunks(now, true, most, &mut txn);
+            self.add_finals(most, &mut txn);
+            self.add_chunks(now, false, most, &mut txn);
+            if self.target_dirty && !self.target_writing && txn.changes.is_empty() {
+                return self.write_target(now, out);
+            }
+            if txn.changes.is_empty() || !self.writes.take(now, txn.changes.len()) {
+                return;
+            }
+            self.txns += 1;
+            let op = StateOp::Txn { conditions: txn.conditions, changes: txn.changes };
+            self.state(Deed::Write(txn.batch), op, out);
+        }
+    }
+
+    pub(super) fn add_chunks(&mut self, now: Duration, placing: bool, most: usize, txn: &mut Txn) {
+        let dirty: Vec<(JobId, u32)> = self.ledger.dirty.iter().cloned().collect();
+        for (id, number) in dirty {
+            if txn.changes.len() >= most || txn.bytes > TXN_BYTES {
+                return;
+            }
+            let Some(entry) = self.ledger.jobs.get(&id) else { continue };
+            let Some(chunk) = entry.chunks.get(&number) else { continue };
+            let waits = chunk.ends_since.is_some_and(|at| now.saturating_sub(at) < ENDS_WAIT);
+            let closing = entry.done == entry.spec.tasks;
+            if entry.phase != Phase::Live || entry.stale || entry.finishing || closing {
+                continue;
+            }
+            if chunk.writing || chunk.stale || chunk.placing != placing || (!placing && waits) {
+                continue;
+            }
+            let Some((value, version)) = self.ledger.encode(&id, number) else { continue };
+            if txn.bytes + value.len() > TXN_BYTES && !txn.changes.is_empty() {
+                return;
+            }
+            let key = id.chunk_key(number);
+            txn.condition(Condition { key: id.key(), stamp: entry.stamp });
+            txn.condition(Condition { key: key.clone(), stamp: chunk.stamp });
+            txn.bytes += value.len() + 400;
+            txn.changes.push(Change::Write { key, value, hold: None });
+            txn.batch.chunks.push((id.clone(), number, version));
+            if let Some(chunk) = self.ledger.jobs.get_mut(&id).and_then(|e| e.chunks.get_mut(&number)) {
+                chunk.writing = true;
+            }
+        }
+    }
+
+    /// Finished jobs: the final record makes all their ends durable at once.
+    pub(super) fn add_finals(&mut self, most: usize, txn: &mut Txn) {
+        for id in self.ledger.closing.clone() {
+            if txn.changes.len() >= most || txn.bytes > TXN_BYTES {
+                return;
+            }
+            let Some(entry) = self.ledger.jobs.get_mut(&id) else { continue };
+            let writing = entry.chunks.values().any(|c| c.writing);
+            if entry.phase != Phase::Live || entry.stale || entry.finishing || writing {
+                continue;
+            }
+            let record = JobRecord {
+                phase: Phase::Done,
+                spec: None,
+                tasks: entry.spec.tasks,
+                per_chunk: entry.per_chunk,
+                accepted_ms: 0,
+                cancelled_ms: None,
+            };
+            let Ok(value) = serde_json::to_string(&record) else { continue };
+            entry.finishing = true;
+            let stamp = entry.stamp;
+            let keys: Vec<String> = entry
+                .chunks
+                .iter()
+                .filter(|(_, c)| c.stamp > 0 || c.stale)
+                .map(|(n, _)| id.chunk_key(*n))
+                .collect();
+            txn.condition(Condition { key: id.key(), stamp });
+            txn.bytes += value.len() + 200;
+            txn.changes.push(Change::Write { key: id.key(), value, hold: None });
+            txn.batch.finals.push(id.clone());
+            self.garbage.extend(keys);
+        }
+    }
+
+    /// Cancelled jobs with nothing left on any machine need only a sweep.
+    pub(super) fn close_cancelled(&mut self, desk: &mut Desk) {
+        for id in self.ledger.closing.clone() {
+            let Some(entry) = self.ledger.jobs.get(&id) else { continue };
+            let writing = entry.chunks.values().any(|c| c.writing);
+            if entry.phase != Phase::Cancelled || entry.placed > 0 || writing {
+                continue;
+            }
+            desk.over(&id, Status::Cancelled, 0);
+            if let Some(entry) = self.ledger.remove(&id) {
+                self.discard(&id, &entry);
+            }
+        }
+    }
+
+    /// Reads again what is in doubt.
+    pub(super) fn refresh(&mut self, out: &mut Out) {
+        let mut calls = Vec::new();
+        for (id, number) in &self.ledger.dirty {
+            let stale = self.ledger.jobs.get(id).and_then(|e| e.chunks.get(number)).is_some_and(|c| c.stale);
+            if stale && self.reading.insert(id.chunk_key(*number)) {
+                calls.push((Deed::ReadChunk(id.clone(), *number), id.chunk_key(*number)));
+            }
+        }
+        for (id, entry) in &self.ledger.jobs {
+            if entry.stale && self.reading.insert(id.key()) {
+                calls.push((Deed::ReadJob(id.clone()), id.key()));
+            }
+        }
+        for (deed, key) in calls {
+            self.state(deed, StateOp::Get { key }, out);
+        }
+    }
+
+    pub(super) fn write_target(&mut self, now: Duration, out: &mut Out) {
+        let Ok(value) = serde_json::to_string(&self.target) else { return };
+        if !self.writes.take(now, 1) {
+            return;
+        }
+        self.target_dirty = false;
+        self.target_writing = true;
+        let changes = vec![Change::Write { key: TARGET.into(), value, hold: None }];
+        self.state(Deed::Target, StateOp::Txn { conditions: vec![self.lead()], changes }, out);
+    }
+
+    /// Drops chunks that nobody needs, when there is room to write.
+    pub(super) fn sweep(&mut self, now: Duration, out: &mut Out) {
+        let spare = self.writes.available(now) as f64 >= self.settings.write_rps * 0.4;
+        if self.sweeping || self.garbage.is_empty() || !spare || now < self.hold_until {
+            return;
+        }
+        let most = self.settings.txn_ops.min(self.garbage.len());
+        let keys: Vec<String> = self.garbage.drain(..most).collect::<BTreeSet<_>>().into_iter().collect();
+        if !self.writes.take(now, keys.len()) {
+            self.garbage.extend(keys);
+            return;
+        }
+        self.sweeping = true;
+        let changes = keys.iter().map(|k| Change::Drop { key: k.clone() }).collect();
+        self.state(Deed::Sweep(keys), StateOp::Txn { conditions: vec![self.lead()], changes }, out);
+    }
+}
--- a/crates/plankhead-core/src/ledger.rs
+++ b/crates/plankhead-core/src/ledger.rs
@@ -93,7 +93,6 @@
     pub finishing: bool,
     /// The job's key must be read again before anything is written for it.
     pub stale: bool,
-    pub first_start: Option<Duration>,
     pub told_late: bool,
 }
 
@@ -200,7 +199,6 @@
                 not_before: Duration::ZERO,
                 finishing: false,
                 stale: false,
-                first_start: None,
                 told_late: false,
             },
         );
@@ -485,10 +483,7 @@
         }
         let Some(entry) = self.jobs.get_mut(&id.job) else { return };
         match (before == Some(Seen::Running), seen == Seen::Running) {
-            (false, true) => {
-                entry.running += 1;
-                entry.first_start.get_or_insert(now);
-            }
+            (false, true) => entry.running += 1,
             (true, false) => entry.running -= 1,
             _ => {}
         }
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -207,7 +207,7 @@
             Event::Orders { call, reply } => {
                 if let Some(Purpose::Leader(baton, deed)) = self.out.calls.remove(&call) {
                     if let Some(leader) = self.leader.as_mut().filter(|l| l.baton == baton) {
-                        leader.orders_reply(times, deed, reply, &self.desk, &mut self.out);
+                        leader.orders_reply(times, deed, reply, &mut self.out);
                     }
                 }
             }
--- /dev/null
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -0,0 +1,225 @@
+//! What counts as proof that an attempt is gone, and what does not.
+
+#![allow(clippy::unwrap_used)]
+
+use plankhead_core::fleet::{Fleet, Leaving, Pool};
+use plankhead_core::job::{JobId, JobRecord, JobSpec, Phase, Resources, Urgency};
+use plankhead_core::ledger::Ledger;
+use plankhead_core::protocol::*;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1000);
+
+fn id() -> JobId {
+    JobId::parse("job-000001").unwrap()
+}
+
+fn spec(tasks: u32) -> JobSpec {
+    JobSpec {
+        class: "c".into(),
+        team: "t".into(),
+        urgency: Urgency::Standard,
+        tasks,
+        each: Resources { cpus: 1.0, gpus: 0.0, ram: 1.0 },
+        image: "img".into(),
+        image_gb: 1.0,
+        rigs: None,
+        zone: None,
+        one_zone: false,
+        scatter: false,
+        spot: true,
+        estimate: 10.0,
+        checkpoint: 0.0,
+        save: 0.0,
+        due: None,
+    }
+}
+
+fn record(phase: Phase, tasks: u32) -> JobRecord {
+    JobRecord { phase, spec: Some(spec(tasks)), tasks, per_chunk: 4, accepted_ms: 0, cancelled_ms: None }
+}
+
+/// A ledger with `placed` of ten tasks on one machine, all durable.
+fn ledger(placed: usize) -> Ledger {
+    let mut ledger = Ledger::default();
+    ledger.upsert(&id(), record(Phase::Live, 10), 5, NOW, None, 4);
+    for _ in 0..placed {
+        ledger.place(&id(), &"i-1".into(), 3, &"z".into(), NOW).unwrap();
+    }
+    commit(&mut ledger);
+    ledger
+}
+
+fn commit(ledger: &mut Ledger) {
+    for (id, chunk) in ledger.dirty.clone() {
+        let (_, version) = ledger.encode(&id, chunk).unwrap();
+        ledger.committed(&id, chunk, version, 7);
+    }
+}
+
+fn report(shift: u64, tick: u64, tasks: &[(u32, u64, Seen)]) -> Report {
+    Report {
+        host: "i-1".into(),
+        address: "10.0.0.9:1".into(),
+        rig: "r".into(),
+        zone: "z".into(),
+        spot: true,
+        shift,
+        tick,
+        baton: 0,
+        warning: None,
+        tasks: tasks
+            .iter()
+            .map(|(index, attempt, seen)| Listed {
+                task: TaskId { job: id(), index: *index },
+                attempt: *attempt,
+                seen: *seen,
+            })
+            .collect(),
+    }
+}
+
+fn placed(ledger: &Ledger) -> u32 {
+    ledger.jobs[&id()].placed
+}
+
+#[test]
+fn absence_from_a_report_is_no_evidence() {
+    let mut ledger = ledger(2);
+    assert!(ledger.observe(&report(3, 1, &[(0, 1, Seen::Running)]), NOW).is_empty());
+    assert!(ledger.observe(&report(3, 2, &[]), NOW).is_empty());
+    assert_eq!(placed(&ledger), 2);
+}
+
+#[test]
+fn a_later_shift_an_end_and_a_release_are_evidence() {
+    let mut ledger = ledger(3);
+    ledger.observe(&report(3, 1, &[(0, 1, Seen::Ended(Cause::Done))]), NOW);
+    assert_eq!((placed(&ledger), ledger.jobs[&id()].done), (2, 1));
+    // The end of another attempt of the same task says nothing of this one.
+    ledger.observe(&report(3, 2, &[(1, 9, Seen::Ended(Cause::Done))]), NOW);
+    assert_eq!(placed(&ledger), 2);
+    ledger.observe(&report(4, 3, &[]), NOW);
+    assert_eq!((placed(&ledger), ledger.jobs[&id()].again.len()), (0, 2));
+    ledger.place(&id(), &"i-2".into(), 1, &"z".into(), NOW).unwrap();
+    assert_eq!(ledger.host_gone("i-2", NOW), 1);
+    assert_eq!(placed(&ledger), 0);
+}
+
+/// A worker may forget an end only once it is durable, since a later leader
+/// would take the attempt for a live one.
+#[test]
+fn reap_waits_for_the_write() {
+    let mut ledger = ledger(1);
+    let task = TaskId { job: id(), index: 0 };
+    ledger.observe(&report(3, 1, &[(0, 1, Seen::Ended(Cause::Done))]), NOW);
+    assert!(!ledger.may_reap(&task, 1));
+    commit(&mut ledger);
+    assert!(ledger.may_reap(&task, 1));
+}
+
+/// A placement that no worker was told of goes with the cancellation; a durable
+/// one, whose `run` may be under way, stays until there is proof.
+#[test]
+fn cancelling_drops_only_what_nobody_was_told() {
+    let mut ledger = ledger(1);
+    ledger.place(&id(), &"i-1".into(), 3, &"z".into(), NOW).unwrap();
+    ledger.upsert(&id(), record(Phase::Cancelled, 10), 9, NOW, Some(NOW), 4);
+    assert_eq!(placed(&ledger), 1);
+    assert!(ledger.closing.is_empty());
+    ledger.observe(&report(3, 1, &[(0, 1, Seen::Ended(Cause::Stopped))]), NOW);
+    assert!(ledger.closing.contains(&id()));
+}
+
+/// What one leader writes, the next one reads: placements, ends and gaps.
+#[test]
+fn chunks_survive_a_takeover() {
+    let mut old = ledger(6);
+    old.observe(&report(3, 1, &[(1, 1, Seen::Ended(Cause::Done)), (2, 1, Seen::Ended(Cause::Error))]), NOW);
+    let mut new = Ledger::default();
+    new.upsert(&id(), record(Phase::Live, 10), 5, NOW, None, 4);
+    for chunk in 0..2 {
+        let (text, _) = old.encode(&id(), chunk).unwrap();
+        new.load_chunk(&id(), chunk, &text, 7, NOW).unwrap();
+    }
+    new.loaded();
+    let (a, b) = (&old.jobs[&id()], &new.jobs[&id()]);
+    assert_eq!((b.done, b.placed, b.fresh, b.pending()), (a.done, a.placed, a.fresh, a.pending()));
+    assert_eq!(new.on_host("i-1").count(), 4);
+    let again = new.place(&id(), &"i-2".into(), 1, &"z".into(), NOW).unwrap();
+    assert_eq!((again.index, new.attempt(&again).unwrap().number), (2, 2));
+    for bad in [r#"{"h":[],"t":[[0,1,0]],"d":[]}"#, r#"{"h":[],"t":[],"d":[[0,99]]}"#, "[]"] {
+        assert!(
+            Ledger::default().load_chunk(&id(), 0, bad, 1, NOW).is_ok()
+                != new.load_chunk(&id(), 0, bad, 1, NOW).is_ok()
+                || bad == "[]"
+        );
+    }
+}
+
+/// The largest chunk fits into a value.
+#[test]
+fn a_full_chunk_fits() {
+    use plankhead_core::ledger::tasks_per_chunk;
+    let per_chunk = tasks_per_chunk(8 * 1024);
+    let mut ledger = Ledger::default();
+    ledger.upsert(&id(), record(Phase::Live, 100_000), 5, NOW, None, per_chunk);
+    for n in 0..per_chunk {
+        let host: HostName = format!("i-{n:012}").into();
+        ledger.place(&id(), &host, 123_456, &"a-zone-with-a-name".into(), NOW).unwrap();
+    }
+    let (text, _) = ledger.encode(&id(), 0).unwrap();
+    assert!(text.len() <= 8 * 1024, "{}", text.len());
+}
+
+/// Reports that were overtaken change nothing, nor do those of machines gone.
+#[test]
+fn late_reports_are_ignored() {
+    let mut fleet = Fleet::default();
+    assert!(fleet.observe(&report(3, 5, &[]), NOW));
+    assert!(!fleet.observe(&report(3, 4, &[]), NOW));
+    assert!(!fleet.observe(&report(2, 9, &[]), NOW));
+    assert!(fleet.observe(&report(4, 1, &[]), NOW));
+    fleet.released(&"i-1".into());
+    assert!(!fleet.observe(&report(5, 1, &[]), NOW));
+    assert!(fleet.machines.is_empty());
+}
+
+/// A machine known only from placements was up once: after a takeover its
+/// silence counts, not the patience for a boot (tasks stood still for 156 s).
+#[test]
+fn machines_known_from_placements_are_judged_by_silence() {
+    let silent = Duration::from_secs(6);
+    let mut fleet = Fleet::default();
+    fleet.expect(&"i-1".into(), NOW);
+    assert!(fleet.judge(NOW + silent, silent).is_empty());
+    let judged = fleet.judge(NOW + silent + Duration::from_millis(1), silent);
+    assert_eq!(judged, vec![("i-1".into(), Leaving::Silent)]);
+}
+
+/// Only when every pool has refused is the type's size known.
+#[test]
+fn refusals_teach_capacity() {
+    let mut fleet = Fleet::default();
+    fleet.rigs.insert(
+        "r".into(),
+        Rig {
+            label: "r".into(),
+            cpus: 16.0,
+            gpus: 0.0,
+            ram: 64.0,
+            cache_gb: 10.0,
+            pull_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.3,
+            boot: Duration::from_secs(30),
+            zones: vec!["z".into()],
+        },
+    );
+    let pool = |spot| Pool { rig: "r".into(), zone: "z".into(), spot };
+    fleet.hired(&["i-1".into(), "i-2".into()], &pool(true), 5, NOW);
+    assert_eq!(fleet.learned("r", NOW), None);
+    assert!(!fleet.open(&pool(true), NOW) && fleet.open(&pool(false), NOW));
+    fleet.refused(&pool(false), NOW);
+    assert_eq!(fleet.learned("r", NOW), Some(2));
+}
