--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -149,11 +149,7 @@
     let again = new.place(&id(), &"i-2".into(), 1, &"z".into(), NOW).unwrap();
     assert_eq!((again.index, new.attempt(&again).unwrap().number), (2, 2));
     for bad in [r#"{"h":[],"t":[[0,1,0]],"d":[]}"#, r#"{"h":[],"t":[],"d":[[0,99]]}"#, "[]"] {
-        assert!(
-            Ledger::default().load_chunk(&id(), 0, bad, 1, NOW).is_ok()
-                != new.load_chunk(&id(), 0, bad, 1, NOW).is_ok()
-                || bad == "[]"
-        );
+        assert!(new.load_chunk(&id(), 0, bad, 1, NOW).is_err(), "{bad}");
     }
 }
 
--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -56,12 +56,26 @@
         cuts: 3,
         hangs: 3,
         deaths: 2,
+        node_cuts: 2,
         errors: 0.1,
         lying_cloud: false,
     };
     play(0..40, troubles);
 }
 
+/// A leader that lost the network took every machine for silent, and its
+/// releases were carried out when the cut ended: a whole fleet at work.
+#[test]
+fn a_cut_leader_gives_no_machine_back() {
+    for seed in 0..25 {
+        let mut world = World::new(seed, Troubles { node_cuts: 4, ..Troubles::default() });
+        world.plan(24, secs(90));
+        world.run(secs(1500));
+        assert!(world.settled(), "seed {seed}");
+        assert!(world.killed_by_release < 8, "seed {seed}: {} tasks killed", world.killed_by_release);
+    }
+}
+
 /// The model catches a rule that is broken on purpose: here the evidence itself
 /// is false, since the cloud confirms releases that it does not carry out.
 #[test]
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -45,6 +45,8 @@
     pub cuts: u32,
     pub hangs: u32,
     pub deaths: u32,
+    /// A node loses the whole network; what it sends arrives when that ends.
+    pub node_cuts: u32,
     pub errors: f64,
     /// A cloud that lies: confirmed releases leave the machine running.
     pub lying_cloud: bool,
@@ -52,6 +54,10 @@
 
 #[derive(Debug, Clone)]
 enum Happening {
+    CutNode {
+        node: usize,
+        until: Duration,
+    },
     /// Whoever got no answer by then asks again.
     Unanswered {
         node: usize,
@@ -201,6 +207,9 @@
     kv: Kv,
     outage: Duration,
     refused: Vec<Duration>,
+    node_cut: Vec<Duration>,
+    /// Tasks that ran on machines when the cloud was told to release them.
+    pub killed_by_release: usize,
     watches: Vec<Watch>,
     pub workers: BTreeMap<HostName, Worker>,
     hires: HashMap<String, Vec<HostName>>,
@@ -251,6 +260,8 @@
             kv: Kv::default(),
             outage: Duration::ZERO,
             refused: vec![Duration::ZERO; 3],
+            node_cut: vec![Duration::ZERO; 3],
+            killed_by_release: 0,
             watches: Vec::new(),
             workers: BTreeMap::new(),
             hires: HashMap::new(),
@@ -360,6 +371,12 @@
             let until = self.now + at + last;
             self.at(at, Happening::Hang { until });
         }
+        for _ in 0..t.node_cuts {
+            let (at, last, node) =
+                (self.between(10_000, span), self.between(15_000, 50_000), self.rng.random_range(0..3));
+            let until = self.now + at + last;
+            self.at(at, Happening::CutNode { node, until });
+        }
         for _ in 0..t.deaths {
             let at = self.between(10_000, span);
             self.at(at, Happening::Die);
@@ -418,7 +435,8 @@
             Happening::FollowEnds { watch } => {
                 if let Some(at) = self.watches.iter().position(|w| w.id == watch) {
                     let watch = self.watches.swap_remove(at);
-                    let down = self.now < self.outage || self.now < self.refused[watch.node];
+                    let cut = self.node_cut[watch.node].max(self.refused[watch.node]);
+                    let down = self.now < self.outage.max(cut);
                     let reply = match down {
                         true => Err(CallError::Lost),
                         false => Ok(self.kv.changes(&watch.prefix, watch.after)),
@@ -478,6 +496,7 @@
             Happening::Outage { until } => self.outage = self.outage.max(until),
             Happening::Refuse { node, until } => self.refused[node] = until,
             Happening::Cut { until } => self.someone(|w| w.cut = until),
+            Happening::CutNode { node, until } => self.node_cut[node] = until,
             Happening::Hang { until } => self.someone(|w| w.hung = until),
             Happening::Die => self.someone(|w| w.dead = true),
         }
@@ -505,7 +524,8 @@
     /// what the user does if nobody answers.
     fn ask(&mut self, asked: Asked, event: impl FnOnce(Ask) -> Event, again: Happening) {
         let node = self.rng.random_range(0..3);
-        let Some((boot, _)) = &self.nodes[node] else {
+        let reached = self.now >= self.node_cut[node];
+        let Some((boot, _)) = self.nodes[node].as_ref().filter(|_| reached) else {
             return self.at(secs(1), again);
         };
         let boot = *boot;
@@ -528,7 +548,36 @@
         }
     }
 
+    /// What a cut node sends is held, carried out when the cut ends, and never
+    /// answered.
+    fn perform_cut(&mut self, node: usize, boot: u64, effect: Effect, held: Duration) {
+        let reply = match effect {
+            Effect::State { call, op } => {
+                if !matches!(op, StateOp::Follow { .. }) {
+                    self.at(held, Happening::StateArrives { node, boot, call, op, answered: false });
+                }
+                Event::State { call, reply: Err(CallError::Lost) }
+            }
+            Effect::Cloud { call, op } => {
+                self.at(held, Happening::CloudArrives { node, boot, call, op, answered: false });
+                Event::Cloud { call, reply: Err(CallError::Lost) }
+            }
+            Effect::Orders { call, address, baton, shift, orders } => {
+                let host: HostName = address.as_ref().trim_start_matches("at-").into();
+                let late = Happening::OrdersArrive { node, boot: 0, call, host, baton, shift, orders };
+                self.at(held, late);
+                Event::Orders { call, reply: OrdersReply::Unanswered }
+            }
+            _ => return,
+        };
+        self.at(ms(1200), Happening::ToNode { node, boot, event: reply });
+    }
+
     fn perform(&mut self, node: usize, boot: u64, effect: Effect) {
+        if self.now < self.node_cut[node] && !matches!(effect, Effect::Log(..)) {
+            let held = self.node_cut[node] - self.now;
+            return self.perform_cut(node, boot, effect, held);
+        }
         match effect {
             Effect::Answer { ask, answer } => {
                 if let Some(asked) = self.asks.remove(&(node, boot, ask)) {
@@ -570,7 +619,8 @@
             }
             Effect::Pulse(pulse) => {
                 for other in (0..3).filter(|n| *n != node) {
-                    if let Some((boot, _)) = &self.nodes[other] {
+                    let reached = self.now >= self.node_cut[other];
+                    if let Some((boot, _)) = self.nodes[other].as_ref().filter(|_| reached) {
                         let (boot, event) = (*boot, Event::Pulse(pulse.clone()));
                         self.at(ms(2), Happening::ToNode { node: other, boot, event });
                     }
@@ -617,7 +667,8 @@
             return;
         }
         let (now, refused, kv) = (self.now, self.refused.clone(), &self.kv);
-        let news = |w: &Watch| now >= refused[w.node] && kv.news(&w.prefix, w.after);
+        let cut = self.node_cut.clone();
+        let news = |w: &Watch| now >= refused[w.node].max(cut[w.node]) && kv.news(&w.prefix, w.after);
         let (ready, waiting): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.watches).into_iter().partition(news);
         self.watches = waiting;
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -143,7 +143,8 @@
             }
             CloudOp::Release { hosts } => {
                 for host in hosts.iter().filter(|_| !self.troubles.lying_cloud) {
-                    self.workers.remove(host);
+                    let worker = self.workers.remove(host).filter(|w| w.up(self.now));
+                    self.killed_by_release += worker.map_or(0, |w| w.runs().count());
                 }
                 CloudReply::Released
             }
@@ -168,6 +169,9 @@
         worker.waiting = Some(tick);
         let shift = worker.shift;
         self.at(secs(4), Happening::BeatGivenUp { host: host.clone(), tick });
+        if now < self.node_cut[node] {
+            return;
+        }
         let Some((boot, _)) = &self.nodes[node] else { return };
         let boot = *boot;
         self.last_ask += 1;
