--- a/crates/plankhead-core/src/election.rs
+++ b/crates/plankhead-core/src/election.rs
@@ -8,9 +8,9 @@
 
 pub const KEY: &str = "lead";
 /// How long the key outlives its leader.
-pub const LIFE: Duration = Duration::from_millis(2500);
+pub const LIFE: Duration = Duration::from_millis(1500);
 /// How often the leader renews its grant.
-const TOUCH: Duration = Duration::from_millis(600);
+const TOUCH: Duration = Duration::from_millis(400);
 /// How long a follower's watch waits before it is opened anew.
 const WATCH: Duration = Duration::from_secs(3);
 /// The pause after a failed attempt to read or to write.
