--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -20,12 +20,16 @@
         let (teams, index) = self.teams();
         let (_, work) = self.work(now, &teams, &index);
         // The first round waits for something to replay.
+        // Before any machine is up, whichever job came first would size the fleet
+        // for a whole interval: rounds follow quickly and only raise.
+        let none_up = self.fleet.machines.values().all(|m| m.newest.is_none() && !m.was_up);
+        let cold = none_up && !work.is_empty();
+        if cold {
+            self.round_due = self.round_due.min(now + COLD_ROUND);
+        }
         if now >= self.round_due && (self.target.round > 0 || !work.is_empty()) {
-            // Before any machine is up, whichever job came first would size the
-            // fleet for a whole interval: rounds follow quickly and only raise.
-            let cold = self.fleet.machines.values().all(|m| m.newest.is_none());
             let interval = self.settings.sizing.interval;
-            self.round_due = now + if cold { interval.min(COLD_ROUND) } else { interval };
+            self.round_due = now + interval;
             let mut target =
                 Target { round: self.target.round + 1, at_ms: times.wall_ms(), ..Target::default() };
             // Nor does the rush of the first seconds tell what comes later.
@@ -38,7 +42,8 @@
                 }
                 target.rigs.insert(rig.clone(), size);
             }
-            out.log(Level::Info, format!("round {}: {:?}", target.round, target.rigs));
+            let level = if target.rigs == self.target.rigs { Level::Debug } else { Level::Info };
+            out.log(level, format!("round {}: {:?}", target.round, target.rigs));
             self.target = target;
             self.target_dirty = true;
         }
