--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -305,7 +305,7 @@
                 continue;
             };
             let ran = attempt.running.map_or(Duration::ZERO, |at| now.saturating_sub(at));
-            let young = ran < self.estimate(&entry.spec) / 2;
+            let young = ran < self.estimate(&entry.spec) / 4;
             let often = attempt.number > MOST_PREEMPTED;
             if entry.spec.urgency < urgency && attempt.seen.is_some() && !attempt.stop && young && !often {
                 lesser.push((ran, task, entry.spec.each));
--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -19,7 +19,6 @@
         }
         let (teams, index) = self.teams();
         let (_, work) = self.work(now, &teams, &index);
-        // The first round waits for something to replay.
         // Before any machine is up, whichever job came first would size the fleet
         // for a whole interval: rounds follow quickly and only raise.
         let none_up = self.fleet.machines.values().all(|m| m.newest.is_none() && !m.was_up);
@@ -27,6 +26,7 @@
         if cold {
             self.round_due = self.round_due.min(now + COLD_ROUND);
         }
+        // The first round waits for something to replay.
         if now >= self.round_due && (self.target.round > 0 || !work.is_empty()) {
             let interval = self.settings.sizing.interval;
             self.round_due = now + interval;
--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -79,12 +79,18 @@
 /// The model catches a rule that is broken on purpose: here the evidence itself
 /// is false, since the cloud confirms releases that it does not carry out.
 #[test]
-#[should_panic(expected = "ran_twice")]
 fn a_lying_cloud_is_caught() {
-    for seed in 0..40 {
-        let mut world =
-            World::new(seed, Troubles { hangs: 10, cuts: 6, lying_cloud: true, ..Troubles::default() });
-        world.plan(40, secs(90));
-        world.run(secs(400));
+    let troubles = Troubles { hangs: 10, cuts: 6, lying_cloud: true, ..Troubles::default() };
+    let broken = (0..40).filter_map(|seed| {
+        let history = std::panic::catch_unwind(|| {
+            let mut world = World::new(seed, troubles);
+            world.plan(40, secs(90));
+            world.run(secs(400));
+        });
+        history.err().and_then(|why| why.downcast_ref::<String>().cloned())
+    });
+    let rules: Vec<String> = broken.collect();
+    for rule in ["ran_twice", "quota"] {
+        assert!(rules.iter().any(|r| r.starts_with(rule)), "{rule} is not among {rules:?}");
     }
 }
