--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -4,6 +4,7 @@
 
 mod world;
 
+use plankhead_core::job::Urgency;
 use world::{secs, Troubles, World};
 
 /// Plays histories and expects every job to come to its end.
@@ -94,3 +95,41 @@
         assert!(rules.iter().any(|r| r.starts_with(rule)), "{rule} is not among {rules:?}");
     }
 }
+
+/// With no machine and no work, a leader went on with a round, a write and a
+/// log line every 5 s.
+#[test]
+fn an_idle_service_is_quiet() {
+    let mut world = World::new(1, Troubles::default());
+    world.plan(6, secs(20));
+    world.run(secs(300));
+    assert!(world.settled());
+    let (writes, at) = (world.writes(), world.now);
+    world.idle(secs(300));
+    assert!(world.now >= at + secs(250));
+    // One round in 20 s, and nothing else.
+    assert!(world.writes() - writes <= 300 / 20 + 1, "{} writes", world.writes() - writes);
+}
+
+/// Urgent tasks found every machine full of standard work and waited for it.
+#[test]
+fn urgent_work_makes_room() {
+    let mut world = World::new(2, Troubles::default());
+    world.capacity = 3;
+    world.plan(2, secs(1));
+    for (n, job) in world.jobs.iter_mut().enumerate() {
+        job.spec.urgency = if n == 0 { Urgency::Standard } else { Urgency::Urgent };
+        job.spec.tasks = if n == 0 { 12 } else { 2 };
+        job.spec.each.cpus = 2.0;
+        job.spec.estimate = if n == 0 { 200.0 } else { 5.0 };
+        job.spec.due = Some(if n == 0 { 9000.0 } else { 6.0 });
+        job.runs = if n == 0 { 200.0 } else { 5.0 };
+        job.spec.team = if n == 0 { "a".into() } else { "b".into() };
+        (job.spec.spot, job.spec.zone, job.spec.one_zone, job.spec.scatter) = (true, None, false, false);
+    }
+    world.arrive(0, secs(1));
+    world.arrive(1, secs(30));
+    world.run(secs(90));
+    assert!(world.jobs[1].done_or_cancelled(), "the urgent job waits behind a standard one");
+    assert!(!world.jobs[0].done_or_cancelled());
+}
--- a/crates/plankhead-core/tests/world/kv.rs
+++ b/crates/plankhead-core/tests/world/kv.rs
@@ -21,6 +21,10 @@
 }
 
 impl Kv {
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     pub fn apply(&mut self, now: Duration, op: StateOp) -> Result<StateReply, CallError> {
         Ok(match op {
             StateOp::Get { key } => StateReply::Got(self.keys.get(&key).map(|v| Row {
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -219,10 +219,12 @@
     asks: HashMap<(usize, u64, Ask), Asked>,
     last_ask: Ask,
     pub starts: u32,
+    /// U for the nodes.
+    pub capacity: u32,
     log: bool,
 }
 
-fn settings(node: usize, boot: u64) -> Settings {
+fn settings(node: usize, boot: u64, capacity: u32) -> Settings {
     let name = |n: usize| format!("plank-{n}");
     let team = Team { cpus: 16.0, cpus_max: CAP, gpus: 0.0, gpus_max: 0.0 };
     Settings {
@@ -242,7 +244,7 @@
         cloud_rps: 4.0,
         list_lag: secs(3),
         clock_off: ms(100),
-        sizing: Sizing { threshold: 1.5, interval: secs(20), capacity: Some(8) },
+        sizing: Sizing { threshold: 1.5, interval: secs(20), capacity: Some(capacity) },
     }
 }
 
@@ -271,6 +273,7 @@
             asks: HashMap::new(),
             last_ask: 0,
             starts: 0,
+            capacity: 8,
             log: std::env::var_os("WORLD_LOG").is_some(),
         };
         for node in 0..3 {
@@ -386,15 +389,41 @@
     /// Runs until the time, or until every user has a final answer.
     pub fn run(&mut self, span: Duration) {
         let end = EPOCH + span;
-        while let Some(Reverse((at, id))) = self.queue.pop() {
-            if at > end || self.settled() {
-                return;
-            }
-            self.now = self.now.max(at);
-            if let Some(happening) = self.happenings.remove(&id) {
-                self.happen(happening);
-            }
+        while !self.settled() && self.next(end) {}
+    }
+
+    /// Goes on for the given time, whatever the users have.
+    pub fn idle(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.next(end) {}
+    }
+
+    /// The next happening, if it is not after `end`.
+    fn next(&mut self, end: Duration) -> bool {
+        let Some(Reverse((at, id))) = self.queue.peek().copied().filter(|Reverse((at, _))| *at <= end) else {
+            return false;
+        };
+        self.queue.pop();
+        self.now = self.now.max(at);
+        if let Some(happening) = self.happenings.remove(&id) {
+            self.happen(happening);
         }
+        true
+    }
+
+    /// Has a planned job come at this time instead, and not be cancelled.
+    pub fn arrive(&mut self, job: usize, after: Duration) {
+        let of = |h: &Happening| match h {
+            Happening::Submit { job } | Happening::Abort { job } => Some(*job),
+            _ => None,
+        };
+        self.happenings.retain(|_, h| of(h) != Some(job));
+        self.at(after, Happening::Submit { job });
+    }
+
+    /// Changes that the state service has carried out.
+    pub fn writes(&self) -> u64 {
+        self.kv.epoch()
     }
 
     /// Whether all jobs are over for their users.
@@ -407,7 +436,7 @@
             Happening::Start { node } => {
                 self.boots += 1;
                 let boot = self.boots;
-                self.nodes[node] = Some((boot, Node::new(settings(node, boot))));
+                self.nodes[node] = Some((boot, Node::new(settings(node, boot, self.capacity))));
                 self.at(ms(1), Happening::Tick { node, boot });
             }
             Happening::Crash { node } => {
