Old reads and old events never undo what is over

Found in reading: a read begun before a cancellation was told could answer after it, and a late event could bring a finished job back into the ledger (its writes would fail).

--- a/crates/plankhead-core/src/desk.rs
+++ b/crates/plankhead-core/src/desk.rs
@@ -365,6 +365,10 @@
             Ok(StateReply::Got(row)) => row,
             _ => return Self::unavailable(ask, out),
         };
+        // The read may be older than what was told meanwhile.
+        if self.known(ask, &id, out) {
+            return;
+        }
         let Some(row) = row else {
             return match why {
                 Why::Poll | Why::Abort { .. } => out.answer(ask, Answer::NotFound),
--- a/crates/plankhead-core/src/leader/takeover.rs
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -133,6 +133,8 @@
                 return;
             }
             Phase::Cancelled => desk.over(&id, Status::Cancelled, 0),
+            // An old event of a job that is over by now.
+            Phase::Live if desk.is_over(&id) => return,
             Phase::Live => {}
         }
         let accepted = times.at_wall(record.accepted_ms);
