--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -219,12 +219,13 @@
             as u32
     }
 
-    pub fn held_by_zone(&self, pool: &Pool) -> u32 {
+    /// Machines of the pool that are not on their way out.
+    pub fn staying(&self, pool: &Pool) -> u32 {
         self.machines.values().filter(|m| m.pool == *pool && m.leaving.is_none()).count() as u32
     }
 
     /// Takes in a whole machine list; it may be old, so absence only makes
-    /// suspicious. Returns failed machines.
+    /// suspicious.
     pub fn listed(&mut self, hosts: &[ListedHost], now: Duration) {
         let mut names = BTreeSet::new();
         for host in hosts {
--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -180,13 +180,8 @@
                 };
                 self.hiring.iter().map(of).sum()
             };
-            let ordinary = self
-                .fleet
-                .pools(&rig)
-                .iter()
-                .filter(|p| !p.spot)
-                .map(|p| self.fleet.held_by_zone(p))
-                .sum::<u32>();
+            let ordinary =
+                self.fleet.pools(&rig).iter().filter(|p| !p.spot).map(|p| self.fleet.staying(p)).sum::<u32>();
             let strict = size.ordinary.saturating_sub(ordinary + coming(Some(false)));
             let want = size.machines.saturating_sub(self.fleet.count(&rig) + coming(None)).max(strict);
             if want == 0 {
@@ -200,7 +195,7 @@
             // Spot first, for its price; ordinary ones once spot is refused.
             let cheap = pools.iter().any(|p| p.spot);
             pools.retain(|p| p.spot == cheap);
-            pools.sort_by_key(|p| self.fleet.held_by_zone(p));
+            pools.sort_by_key(|p| self.fleet.staying(p));
             let mut left = if strict > 0 { strict } else { want };
             let share = left.div_ceil(pools.len().max(1) as u32);
             for pool in pools {
--- a/crates/plankhead/src/config.rs
+++ b/crates/plankhead/src/config.rs
@@ -11,7 +11,7 @@
 
 /// The operators' settings as a schema, also for editors.
 pub const SCHEMA: &str = include_str!("../operator.schema.json");
-/// Memory that stays free of user connections.
+/// The share of the sockets that is kept for our own connections.
 const SOCKETS_KEPT: f64 = 0.25;
 
 #[derive(Debug, Clone)]
