--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -21,6 +21,8 @@
 /// The state service must have failed a node for this long before the node
 /// sends its users elsewhere.
 const REFUSED: Duration = Duration::from_secs(3);
+/// A failure of the state service that lasted longer is logged.
+const TELL_OUTAGE: Duration = Duration::from_secs(2);
 /// Pause between attempts to read the catalog, and between refreshes.
 const CATALOG_RETRY: Duration = Duration::from_secs(1);
 const CATALOG_AGE: Duration = Duration::from_secs(300);
@@ -173,7 +175,13 @@
             }
             Event::State { call, reply } => {
                 match &reply {
-                    Ok(_) => self.state_bad = None,
+                    Ok(_) => {
+                        let out = self.state_bad.take().map(|since| now.saturating_sub(since));
+                        if let Some(long) = out.filter(|long| *long > TELL_OUTAGE) {
+                            let text = format!("the state service failed for {} s", long.as_secs());
+                            self.out.log(Level::Info, text);
+                        }
+                    }
                     Err(_) => {
                         self.state_bad.get_or_insert(now);
                     }
