--- /dev/null
+++ b/crates/plankhead/src/tests/messages.rs
@@ -0,0 +1,57 @@
+use crate::peer::{decode, encode};
+use crate::wire;
+use plankhead_core::protocol::{Cause, Change, Progress, Pulse, Seen};
+use serde_json::{json, Value};
+
+#[test]
+fn pulses_are_checked() {
+    let progress = vec![Progress { id: "job-1".into(), done: 3, running: 4 }];
+    let pulse = Pulse { host: "plank-1".into(), state_ok: true, baton: 7, progress };
+    let bytes = encode(&pulse).unwrap();
+    assert_eq!(decode(&bytes), Some(pulse));
+    assert_eq!(decode(&bytes[..bytes.len() - 3]), None);
+    assert_eq!(decode(&[0xff; 64]), None);
+}
+
+#[test]
+fn reports_are_checked() {
+    let good = json!({"host": "i-1", "address": "10.1.0.2:9000", "rig": "g8", "yard": "a", "loaners": true,
+        "shift": 1, "tick": 88, "baton": 41, "warningS": null, "tomorrow": 1,
+        "pieces": [{"piece": "job-1/3", "try": 2, "status": "running"},
+                   {"piece": "job-2/0", "try": 1, "status": "ended", "cause": "done"}]});
+    let parse = |v: &Value| wire::report(v.to_string().as_bytes());
+    let report = parse(&good).unwrap();
+    assert_eq!((report.tasks[0].task.index, report.tasks[1].seen), (3, Seen::Ended(Cause::Done)));
+    for (pointer, bad) in [
+        ("/pieces/0/piece", json!("job-1")),
+        ("/pieces/0/piece", json!("job-1/-1")),
+        ("/pieces/0/status", json!("asleep")),
+        ("/pieces/1/cause", json!(null)),
+        ("/shift", json!(-1)),
+        ("/host", json!("two words")),
+        ("/warningS", json!(1e300)),
+    ] {
+        let mut report = good.clone();
+        *report.pointer_mut(pointer).unwrap() = bad;
+        assert!(parse(&report).is_err(), "{pointer}");
+    }
+}
+
+#[test]
+fn strange_replies_of_the_cloud_are_no_facts() {
+    assert_eq!(wire::catalog(br#"{"rigs":[{"label":"r"}]}"#), None);
+    assert_eq!(wire::hosts(br#"{"hosts":[{"nameId":"i-1"}],"truncated":false}"#), None);
+    assert_eq!(wire::hired(br#"{"hosts":"i-1"}"#), None);
+}
+
+#[test]
+fn transactions_are_written_as_published() {
+    let changes = [
+        Change::Write { key: "a/b".into(), value: r#"{"x":1}"#.into(), hold: Some(7) },
+        Change::Drop { key: "c/d".into() },
+    ];
+    let body: Value = serde_json::from_slice(&wire::txn(&[], &changes).unwrap()).unwrap();
+    let expected =
+        json!({"if": [], "apply": [{"write": "a/b", "value": {"x": 1}, "hold": 7}, {"drop": "c/d"}]});
+    assert_eq!(body, expected);
+}
--- /dev/null
+++ b/crates/plankhead/src/tests/service.rs
@@ -0,0 +1,149 @@
+//! The whole service over loopback, against the stand-ins.
+
+use super::standins::{self, Shared};
+use crate::config::{parse, Operator};
+use crate::driver;
+use crate::http::Client;
+use hyper::Method;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+struct Service {
+    world: Shared,
+    api: SocketAddr,
+    users: Client,
+    peers: Client,
+}
+
+fn free() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+async fn start() -> Service {
+    let (world, state, cloud) = standins::start().await;
+    let mut settings = super::settings::platform();
+    let (api, peer) = (free(), free());
+    settings["api_addr"] = json!(api.to_string());
+    settings["peer_bind"] = json!(peer.to_string());
+    settings["endpoints"] = json!({"cloud": cloud.to_string(), "state": state.to_string()});
+    let config = parse(&settings, Operator::default(), &mut Vec::new());
+    tokio::spawn(driver::run(config));
+    let service = Service { world, api, users: Client::new(api), peers: Client::new(peer) };
+    // Ready once the machine types are known: an impossible job is told so.
+    let impossible = job("job-000000", 1, json!({"crew": "nobody"}));
+    service.until(Method::POST, "/work", impossible, |code, _| code == 422).await;
+    service
+}
+
+fn job(id: &str, pieces: u32, change: Value) -> Value {
+    let mut job = json!({"nameId": id, "lane": "c", "crew": "t", "shape": "array", "urgency": "urgent",
+        "pieces": pieces, "cpus": 1.0, "gpus": 0.0, "ramGb": 1.0, "bundle": "img", "imageGb": 0.1,
+        "rigs": null, "yard": null, "samePlace": false, "scatter": false, "loaners": true,
+        "guessS": 1.0, "bookmarkS": 0.0, "stowS": 0.0, "dueS": null});
+    for (key, value) in change.as_object().unwrap() {
+        job[key] = value.clone();
+    }
+    job
+}
+
+impl Service {
+    async fn ask(&self, method: Method, path: &str, body: Value) -> (u16, Value) {
+        let body = if body.is_null() { Vec::new() } else { body.to_string().into_bytes() };
+        match self.users.call(method, path, body, Duration::from_secs(5)).await {
+            Ok((status, body)) => (status.as_u16(), serde_json::from_slice(&body).unwrap()),
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    async fn submit(&self, job: Value) -> u16 {
+        self.ask(Method::POST, "/work", job).await.0
+    }
+
+    async fn until(&self, method: Method, path: &str, body: Value, wanted: impl Fn(u16, &Value) -> bool) {
+        let start = Instant::now();
+        loop {
+            let (code, answer) = self.ask(method.clone(), path, body.clone()).await;
+            if wanted(code, &answer) {
+                return;
+            }
+            assert!(start.elapsed() < Duration::from_secs(20), "{path}: {code} {answer}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn done(&self, path: &str) {
+        self.until(Method::GET, path, Value::Null, |_, a| a["status"] == "done").await;
+    }
+}
+
+#[tokio::test]
+async fn runs_an_array_and_tells_bad_input() {
+    let service = start().await;
+    let worker = standins::machine(&service.world, "i-000001", service.api).await;
+    assert_eq!(service.submit(job("job-000001", 10, json!({}))).await, 201);
+    for (change, code) in [
+        (json!({"pieces": 0}), 400),
+        (json!({"pieces": 100_001}), 400),
+        (json!({"cpus": -1}), 400),
+        (json!({"cpus": "1"}), 400),
+        (json!({"shape": "ring"}), 400),
+        (json!({"urgency": "now"}), 400),
+        (json!({"guessS": 1e300}), 400),
+        (json!({"crew": "nobody"}), 422),
+        (json!({"cpus": 5}), 422),
+        (json!({"rigs": ["q"]}), 422),
+        (json!({"nameId": "task-1"}), 400),
+    ] {
+        assert_eq!(service.submit(job("job-000002", 1, change.clone())).await, code, "{change}");
+    }
+    assert_eq!(service.submit(json!([])).await, 400);
+    // A known id is answered before the body is judged.
+    assert_eq!(service.submit(job("job-000001", 0, json!({}))).await, 200);
+    assert_eq!(service.ask(Method::GET, "/work/job-000002", Value::Null).await.0, 404);
+    assert_eq!(service.ask(Method::POST, "/work/job-000002/abort", Value::Null).await.0, 404);
+    assert_eq!(service.ask(Method::PUT, "/work", Value::Null).await.0, 405);
+    assert_eq!(service.ask(Method::GET, "/nowhere", Value::Null).await.0, 404);
+    let beat = json!({"host": "i-000009", "pieces": [{"piece": "job-1"}]});
+    assert_eq!(service.ask(Method::POST, "/agent/beat", beat).await.0, 400);
+    service.done("/work/job-000001").await;
+    assert_eq!(worker.lock().unwrap().starts, 10);
+    let (status, view) =
+        service.peers.call(Method::GET, "/view", Vec::new(), Duration::from_secs(1)).await.unwrap();
+    let view: Value = serde_json::from_slice(&view).unwrap();
+    assert_eq!((status.as_u16(), &view["leader"]["ready"]), (200, &json!(true)));
+}
+
+#[tokio::test]
+async fn cancels_and_answers_at_once_without_the_state_service() {
+    let service = start().await;
+    assert_eq!(service.submit(job("job-000003", 3, json!({}))).await, 201);
+    let (code, answer) = service.ask(Method::POST, "/work/job-000003/abort", Value::Null).await;
+    assert_eq!((code, &answer["status"]), (200, &json!("cancelled")));
+    assert_eq!(service.submit(job("job-000004", 1, json!({}))).await, 201);
+    service.world.lock().unwrap().down = true;
+    let asked = Instant::now();
+    let body = job("job-000005", 1, json!({})).to_string().into_bytes();
+    assert_eq!(service.submit(serde_json::from_slice(&body).unwrap()).await, 503);
+    assert_eq!(service.ask(Method::GET, "/work/job-000004", Value::Null).await.0, 503);
+    // What is final may be told from memory.
+    let (code, answer) = service.ask(Method::GET, "/work/job-000003", Value::Null).await;
+    assert_eq!((code, &answer["status"]), (200, &json!("cancelled")));
+    assert!(asked.elapsed() < Duration::from_secs(1), "refusals must not be held back");
+    service.world.lock().unwrap().down = false;
+    service.until(Method::POST, "/work", job("job-000005", 1, json!({})), |code, _| code == 201).await;
+}
+
+/// A commit whose answer can't be understood may have happened: only reading
+/// the key again tells, and the job must not be lost or run twice.
+#[tokio::test]
+async fn a_strange_answer_to_a_commit_is_looked_up() {
+    let service = start().await;
+    service.world.lock().unwrap().garbled = 1;
+    let code = service.submit(job("job-000006", 2, json!({}))).await;
+    assert!(matches!(code, 200 | 201), "{code}");
+    let worker = standins::machine(&service.world, "i-000002", service.api).await;
+    service.world.lock().unwrap().garbled = 2;
+    service.done("/work/job-000006").await;
+    assert_eq!(worker.lock().unwrap().starts, 2);
+}
