--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -42,8 +42,12 @@
 pub struct Start {
     pub work: usize,
     pub slot: usize,
+    /// Later than the pass: the task waits for the machine, which has its image.
+    pub at: Duration,
 }
 
+/// A task that waits for a machine does so for this long at least.
+const SOON: Duration = Duration::from_millis(1);
 /// Tasks that one job may start before the next team's turn.
 const TURN: u32 = 4;
 
@@ -196,7 +200,7 @@
     })
 }
 
-/// One pass over the queue: starts what may start now.
+/// One pass over the queue: what may start now, and what waits for a machine.
 pub fn pass(now: Duration, slots: &mut [Slot], work: &mut [Work], teams: &mut [TeamRoom]) -> Vec<Start> {
     let mut starts = Vec::new();
     let mut turns = Turns::new(work, teams.len());
@@ -225,6 +229,8 @@
                 // Room held for a task that waits for this machine's image:
                 // nothing smaller slips in meanwhile.
                 Some((at, w)) => {
+                    let at = at.max(now + SOON);
+                    starts.push(Start { work: i, slot: w, at });
                     let end = at + work[i].estimate;
                     slots[w].run(Running::of(&work[i], end, true));
                     w
@@ -235,7 +241,7 @@
                     work[i].joined(zone);
                     let each = work[i].each;
                     teams[work[i].team].used.add(&each);
-                    starts.push(Start { work: i, slot: s });
+                    starts.push(Start { work: i, slot: s, at: now });
                     s
                 }
             };
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -84,6 +84,7 @@
 /// taken to tell a rate.
 const MOST_ARRIVALS: usize = 1_000;
 const LEAST_WINDOW: Duration = Duration::from_secs(20);
+const RUSH: Duration = Duration::from_secs(5);
 
 /// What a leader's call is for.
 #[derive(Debug, Clone, PartialEq)]
@@ -187,6 +188,8 @@
     sound: bool,
     /// The jobs of the last interval: when each came, and what it was.
     arrivals: VecDeque<(Duration, Arc<JobSpec>)>,
+    /// When the service's first job came; zero if that was before this leader.
+    opened: Option<Duration>,
 }
 
 impl Leader {
@@ -236,6 +239,7 @@
             late_due: now,
             sound: true,
             arrivals: VecDeque::new(),
+            opened: None,
             settings,
         }
     }
--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -224,7 +224,8 @@
         }
         self.raise(&work);
         let (hosts, mut slots): (Vec<HostName>, Vec<Slot>) = self.slots(now).into_iter().unzip();
-        for start in easy::pass(now, &mut slots, &mut work, &mut teams) {
+        let starts = easy::pass(now, &mut slots, &mut work, &mut teams);
+        for start in starts.into_iter().filter(|s| s.at <= now) {
             let host = &hosts[start.slot];
             let zone = self.places.zone_name(slots[start.slot].zone);
             if let Some(machine) = self.fleet.machines.get_mut(host) {
--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-/// Without a U of the operators, how far the fleet may grow beyond what the
-/// guarantees would fill.
+/// Without a U of the operators, how far the fleet may grow under overload, as a
+/// multiple of what the guarantees would fill.
 const BORROWED: f64 = 1.5;
 /// Machines in one release, by the protocol.
 const MOST_RELEASED: usize = 100;
@@ -50,6 +50,8 @@
     cold: bool,
     trials: Vec<Trial>,
     replay: Option<Replay>,
+    /// Trials and their slowdowns, for the log.
+    trace: Vec<String>,
 }
 
 impl Round {
@@ -58,6 +60,7 @@
         let Some(trial) = self.trials.iter_mut().find(|t| t.climb.size().is_none()) else { return true };
         let replay = self.replay.get_or_insert_with(|| trial.backlog.replay(trial.climb.trial()));
         if let Some(slowdown) = replay.advance(PORTION) {
+            self.trace.push(format!("{}:{slowdown:.2}", trial.climb.trial()));
             trial.climb.measured(slowdown);
             self.replay = None;
         }
@@ -79,13 +82,16 @@
 }
 
 impl Leader {
-    /// U for a type: set, or learned, or what the guarantees would fill.
-    pub(super) fn capacity(&self, rig: &str, now: Duration) -> u32 {
+    /// U for a type: set, or learned, or what the guarantees would fill; and how
+    /// far it goes under overload.
+    fn capacity(&self, rig: &str, now: Duration) -> (u32, u32) {
         let cpus = self.fleet.resources(rig).map_or(1.0, |r| r.cpus.max(1.0));
         let guaranteed: f64 = self.settings.teams.values().map(|t| t.cpus).sum();
-        let usual = (guaranteed * BORROWED / cpus).ceil().clamp(1.0, 10_000.0) as u32;
-        let set = self.settings.sizing.capacity.unwrap_or(usual);
-        self.fleet.learned(rig, now).map_or(set, |learned| learned.min(set)).max(1)
+        let fill = |share: f64| (guaranteed * share / cpus).ceil().clamp(1.0, 10_000.0) as u32;
+        let set = self.settings.sizing.capacity;
+        let known = self.fleet.learned(rig, now).unwrap_or(u32::MAX);
+        let bound = |share: f64| set.unwrap_or(fill(share)).min(known).max(1);
+        (bound(1.0), bound(BORROWED))
     }
 
     /// Begins rounds, carries the one under way on by a portion, and ends it.
@@ -112,7 +118,8 @@
         }
         let level = if target.rigs == self.target.rigs { Level::Debug } else { Level::Info };
         let took = now.saturating_sub(round.began).as_millis();
-        out.log(level, format!("round {}: {:?} in {took} ms", target.round, target.rigs));
+        let trials = round.trace.join(" ");
+        out.log(level, format!("round {}: {:?} in {took} ms, {trials}", target.round, target.rigs));
         self.target = target;
         self.target_dirty = true;
     }
@@ -148,7 +155,7 @@
                 trials.extend(self.trial(now, &rig, strict, input, &teams, running));
             }
         }
-        self.round = Some(Round { began: now, cold, trials, replay: None });
+        self.round = Some(Round { began: now, cold, trials, replay: None, trace: Vec::new() });
     }
 
     /// The climb for one type, over the jobs that can use it; `strict`: only
@@ -182,7 +189,8 @@
         }
         let busy = if strict { 0 } else { held.iter().filter(|s| !s.running.is_empty()).count() as u32 };
         let least = busy.max(u32::from(!work.is_empty()));
-        let climb = Climb::new(least, self.capacity(rig, now), self.settings.sizing.threshold);
+        let (most, beyond) = self.capacity(rig, now);
+        let climb = Climb::new(least, most, beyond, self.settings.sizing.threshold);
         let total = Resources { cpus: kind.cpus, gpus: kind.gpus, ram: kind.ram };
         let fresh = ordinary
             .into_iter()
--- a/crates/plankhead-core/src/leader/takeover.rs
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -88,6 +88,10 @@
             }
         }
         self.ledger.loaded();
+        // Not a new service: the jobs that are there came one after the other.
+        if row.is_some() {
+            self.opened = Some(Duration::ZERO);
+        }
         if let Some(target) = row.and_then(|r| serde_json::from_str::<Target>(&r.value).ok()) {
             let at = times.at_wall(target.at_ms);
             self.round_due = (at + self.settings.sizing.interval).min(now + self.settings.sizing.interval);
@@ -141,7 +145,10 @@
         let cancelled = record.cancelled_ms.map(|ms| times.at_wall(ms));
         let per_chunk = record.per_chunk.max(1);
         if record.phase == Phase::Live && !self.ledger.jobs.contains_key(&id) {
-            if let Some(spec) = &record.spec {
+            // What waits when a service opens is a backlog and tells no rate.
+            let opened = *self.opened.get_or_insert(accepted);
+            let rush = accepted < opened + RUSH;
+            if let Some(spec) = record.spec.as_ref().filter(|_| !rush) {
                 self.arrivals.push_back((accepted, Arc::new(spec.clone())));
                 if self.arrivals.len() > MOST_ARRIVALS {
                     self.arrivals.pop_front();
--- a/crates/plankhead-core/src/replay.rs
+++ b/crates/plankhead-core/src/replay.rs
@@ -80,7 +80,7 @@
             self.work.push(arrival.work);
         }
         for start in pass(at, &mut self.slots, &mut self.work, &mut self.teams) {
-            self.delay[start.work] += at.saturating_sub(self.from[start.work]).as_secs_f64();
+            self.delay[start.work] += start.at.saturating_sub(self.from[start.work]).as_secs_f64();
         }
         self.passes += 1;
         let idle = self.arrivals.is_empty() && self.work.iter().all(|w| w.pending == 0);
--- a/crates/plankhead-core/src/sizing.rs
+++ b/crates/plankhead-core/src/sizing.rs
@@ -1,18 +1,25 @@
 //! The halving climb over trial sizes (the paper, section 3.3).
 
+/// A slowdown above this at the limit is overload: on average jobs wait as long
+/// as they run.
+const OVERLOAD: f64 = 2.0;
+
 /// A climb from the least size towards the limit: the first trial whose
 /// slowdown is at most `threshold` decides.
 #[derive(Debug, Clone, Copy)]
 pub struct Climb {
     trial: u32,
     most: u32,
+    /// How far the limit moves if it leaves an overload.
+    beyond: u32,
     threshold: f64,
     decided: bool,
 }
 
 impl Climb {
-    pub fn new(least: u32, most: u32, threshold: f64) -> Self {
-        Self { trial: least, most, threshold, decided: least >= most }
+    pub fn new(least: u32, most: u32, beyond: u32, threshold: f64) -> Self {
+        let beyond = beyond.max(most);
+        Self { trial: least, most, beyond, threshold, decided: least >= beyond }
     }
 
     /// The size, once it is decided.
@@ -28,11 +35,14 @@
     /// Takes in the slowdown on the trial size; the next trial lies halfway to
     /// the limit.
     pub fn measured(&mut self, slowdown: f64) {
-        if slowdown <= self.threshold {
+        if self.trial >= self.most && slowdown > OVERLOAD {
+            self.most = self.beyond;
+        }
+        if slowdown <= self.threshold || self.trial >= self.most {
             self.decided = true;
             return;
         }
         self.trial = (self.trial + self.most).div_ceil(2);
-        self.decided = self.trial >= self.most;
+        self.decided = self.trial >= self.beyond;
     }
 }
