A leader's own token fences cancelled attempts of earlier leaders

Cause: chunks of cancelled jobs are swept when there is room to write. A report with the new leader's token shows that what it does not list is not there and can't come; for cancelled jobs, of which no new attempt is made, that is enough.

Ruled out: missed cancellations (the old leader had seen every attempt end).

--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -208,8 +208,8 @@
             return Heard::Old;
         }
         let first = machine.newest.is_none();
-        let same =
-            machine.report.as_ref().is_some_and(|r| r.shift == report.shift && r.tasks == report.tasks);
+        let alike = |r: &Report| (r.shift, r.baton) == (report.shift, report.baton) && r.tasks == report.tasks;
+        let same = machine.report.as_ref().is_some_and(alike);
         if machine.shift() != Some(report.shift) {
             // Its lease ran out although we answered: it does not hear us.
             let lately = machine.answered.is_some_and(|at| now.saturating_sub(at) < DEAF);
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// A new leader has heard every worker that it can reach after this time.
+const FIRST_REPORTS: Duration = Duration::from_millis(4500);
+
 impl Leader {
     pub fn tick(&mut self, times: Times, firm: bool, desk: &mut Desk, out: &mut Out) {
         let now = times.now;
@@ -110,6 +113,9 @@
             .values()
             .filter(|e| e.placed > 0 && e.cancelled.is_some_and(|at| now.saturating_sub(at) >= grace))
             .flat_map(|e| self.ledger.placements(e))
+            // What an earlier leader placed may have ended under it, which the
+            // first reports to us show.
+            .filter(|a| a.seen.is_some() || a.offered || now.saturating_sub(self.began) > FIRST_REPORTS)
             .map(|a| a.host.clone())
             .collect();
         for host in overdue {
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -38,6 +38,13 @@
             machine.sent_off = Some(now);
             return Answer::Elsewhere { foreman: None };
         }
+        for order in &orders {
+            if let Order::Run { task, .. } = order {
+                if let Some(attempt) = self.ledger.attempt_mut(task) {
+                    attempt.offered = true;
+                }
+            }
+        }
         machine.answered = Some(now);
         machine.asked = orders.iter().filter_map(Order::asked).collect();
         Answer::Beat { baton: self.baton, orders }
@@ -62,7 +69,7 @@
     pub(super) fn observe(&mut self, times: Times, report: &Report, heard: Heard, out: &mut Out) {
         let now = times.now;
         let (ended, lost) = match heard {
-            Heard::News => self.ledger.observe(report, now),
+            Heard::News => self.ledger.observe(report, report.baton == self.baton, now),
             _ => Default::default(),
         };
         if lost > 0 {
@@ -263,7 +270,7 @@
         }
         for (task, attempt) in &runs {
             if let Some(a) = self.ledger.attempt_mut(task) {
-                a.told = true;
+                (a.told, a.offered) = (true, true);
             }
             orders.push(Order::Run { task: task.clone(), attempt: *attempt });
         }
--- a/crates/plankhead-core/src/ledger.rs
+++ b/crates/plankhead-core/src/ledger.rs
@@ -30,6 +30,8 @@
     pub stop: bool,
     /// `run` was sent straight to the worker, once.
     pub told: bool,
+    /// This leader has told the worker to run it, in whatever way.
+    pub offered: bool,
     /// `kill` was sent straight to the worker, once.
     pub kill_told: bool,
 }
@@ -272,6 +274,7 @@
                         running: None,
                         stop: false,
                         told: false,
+                        offered: false,
                         kill_told: false,
                     })
                 }
@@ -352,6 +355,7 @@
             running: None,
             stop: false,
             told: false,
+            offered: false,
             kill_told: false,
         });
         entry.placed += 1;
@@ -453,7 +457,12 @@
 
     /// Takes in a worker's report, newer than any seen of this worker. Returns
     /// what has ended, and how many attempts are missing that were there.
-    pub fn observe(&mut self, report: &Report, now: Duration) -> (Vec<Ended>, u32) {
+    ///
+    /// `own`: the report carries this leader's token. Then commands of earlier
+    /// leaders are refused from now on, so that an attempt of theirs that is not
+    /// listed is not there and can't come. That is enough to forget attempts of
+    /// cancelled jobs, of which no new ones will be made.
+    pub fn observe(&mut self, report: &Report, own: bool, now: Duration) -> (Vec<Ended>, u32) {
         let here: Vec<TaskId> = self.on_host(&report.host).cloned().collect();
         let listed: HashMap<(&TaskId, u64), Seen> =
             report.tasks.iter().map(|l| ((&l.task, l.attempt), l.seen)).collect();
@@ -474,6 +483,11 @@
                 continue;
             }
             match listed.get(&(&id, number)) {
+                None if own && !attempt.offered && self.cancelled(&id.job) => {
+                    ended.push(finish(None, None));
+                    self.end(&id, false);
+                    self.note_end(&id, now);
+                }
                 None => lost += u32::from(attempt.seen.is_some()),
                 Some(Seen::Ended(cause)) => {
                     let ran = running.map(|at| now.saturating_sub(at));
@@ -487,6 +501,10 @@
         (ended, lost)
     }
 
+    fn cancelled(&self, id: &JobId) -> bool {
+        self.jobs.get(id).is_some_and(|e| e.phase == Phase::Cancelled)
+    }
+
     fn saw(&mut self, id: &TaskId, seen: Seen, now: Duration) {
         let Some(attempt) = self.attempt_mut(id) else { return };
         let before = attempt.seen.replace(seen);
--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -86,21 +86,21 @@
 #[test]
 fn absence_from_a_report_is_no_evidence() {
     let mut ledger = ledger(2);
-    assert_eq!(ledger.observe(&report(3, 1, &[(0, 1, Seen::Running)]), NOW), (vec![], 0));
+    assert_eq!(ledger.observe(&report(3, 1, &[(0, 1, Seen::Running)]), false, NOW), (vec![], 0));
     // What was there and is missing is neither running nor proven gone.
-    assert_eq!(ledger.observe(&report(3, 2, &[]), NOW), (vec![], 1));
+    assert_eq!(ledger.observe(&report(3, 2, &[]), false, NOW), (vec![], 1));
     assert_eq!(placed(&ledger), 2);
 }
 
 #[test]
 fn a_later_shift_an_end_and_a_release_are_evidence() {
     let mut ledger = ledger(3);
-    ledger.observe(&report(3, 1, &[(0, 1, Seen::Ended(Cause::Done))]), NOW);
+    ledger.observe(&report(3, 1, &[(0, 1, Seen::Ended(Cause::Done))]), false, NOW);
     assert_eq!((placed(&ledger), ledger.jobs[&id()].done), (2, 1));
     // The end of another attempt of the same task says nothing of this one.
-    ledger.observe(&report(3, 2, &[(1, 9, Seen::Ended(Cause::Done))]), NOW);
+    ledger.observe(&report(3, 2, &[(1, 9, Seen::Ended(Cause::Done))]), false, NOW);
     assert_eq!(placed(&ledger), 2);
-    ledger.observe(&report(4, 3, &[]), NOW);
+    ledger.observe(&report(4, 3, &[]), false, NOW);
     assert_eq!((placed(&ledger), ledger.jobs[&id()].again.len()), (0, 2));
     ledger.place(&id(), &"i-2".into(), 1, &"z".into(), NOW).unwrap();
     assert_eq!(ledger.host_gone("i-2", NOW), 1);
@@ -113,7 +113,7 @@
 fn reap_waits_for_the_write() {
     let mut ledger = ledger(1);
     let task = TaskId { job: id(), index: 0 };
-    ledger.observe(&report(3, 1, &[(0, 1, Seen::Ended(Cause::Done))]), NOW);
+    ledger.observe(&report(3, 1, &[(0, 1, Seen::Ended(Cause::Done))]), false, NOW);
     assert!(!ledger.may_reap(&task, 1));
     commit(&mut ledger);
     assert!(ledger.may_reap(&task, 1));
@@ -128,15 +128,38 @@
     ledger.upsert(&id(), record(Phase::Cancelled, 10), 9, NOW, Some(NOW), 4);
     assert_eq!(placed(&ledger), 1);
     assert!(ledger.closing.is_empty());
-    ledger.observe(&report(3, 1, &[(0, 1, Seen::Ended(Cause::Stopped))]), NOW);
+    ledger.observe(&report(3, 1, &[(0, 1, Seen::Ended(Cause::Stopped))]), false, NOW);
     assert!(ledger.closing.contains(&id()));
 }
 
+/// After a takeover, attempts of a job cancelled long ago stood in its chunks;
+/// machines were returned for them with all that ran there. A report that
+/// carries the new leader's token shows that they are not there and can't come,
+/// unless this leader itself has sent them.
+#[test]
+fn the_own_token_fences_cancelled_attempts_of_earlier_leaders() {
+    let cancel = |ledger: &mut Ledger| {
+        ledger.upsert(&id(), record(Phase::Cancelled, 10), 9, NOW, Some(NOW), 4);
+    };
+    let mut live = ledger(2);
+    assert!(live.observe(&report(3, 1, &[]), true, NOW).0.is_empty(), "a live job's attempt may come");
+    let mut old = ledger(2);
+    cancel(&mut old);
+    assert!(old.observe(&report(3, 1, &[]), false, NOW).0.is_empty(), "no token, no proof");
+    assert!(old.observe(&report(2, 2, &[]), true, NOW).0.is_empty(), "of an earlier shift");
+    assert_eq!(old.observe(&report(3, 3, &[(0, 1, Seen::Running)]), true, NOW).0.len(), 1);
+    assert_eq!(placed(&old), 1);
+    let mut sent = ledger(2);
+    sent.attempt_mut(&TaskId { job: id(), index: 1 }).unwrap().offered = true;
+    cancel(&mut sent);
+    assert_eq!(sent.observe(&report(3, 1, &[]), true, NOW).0.len(), 1);
+}
+
 /// What one leader writes, the next one reads: placements, ends and gaps.
 #[test]
 fn chunks_survive_a_takeover() {
     let mut old = ledger(6);
-    old.observe(&report(3, 1, &[(1, 1, Seen::Ended(Cause::Done)), (2, 1, Seen::Ended(Cause::Error))]), NOW);
+    old.observe(&report(3, 1, &[(1, 1, Seen::Ended(Cause::Done)), (2, 1, Seen::Ended(Cause::Error))]), false, NOW);
     let mut new = Ledger::default();
     new.upsert(&id(), record(Phase::Live, 10), 5, NOW, None, 4);
     for chunk in 0..2 {
