Reports go through a sibling while a worker can't reach the leader

Change: a follower that meets a worker which knows the leader's token, or which it sent there lately, passes the report on over the controller port and the answer back. A zone that falls silent at once is given its lease and half a boot before its machines go back. A leader whom no worker reaches itself still steps down.

--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -74,6 +74,8 @@
     pub report: Option<Report>,
     /// When it last reported, or when we began to wait for it.
     pub heard: Duration,
+    /// When it last reached this node itself.
+    pub direct: Duration,
     pub notice: bool,
     pub listed: bool,
     /// It was up once, by the list or by the attempts placed on it, even if
@@ -163,6 +165,7 @@
             newest: None,
             report: None,
             heard: now,
+            direct: now,
             notice: false,
             listed: false,
             was_up: false,
@@ -208,7 +211,8 @@
             return Heard::Old;
         }
         let first = machine.newest.is_none();
-        let alike = |r: &Report| (r.shift, r.baton) == (report.shift, report.baton) && r.tasks == report.tasks;
+        let alike =
+            |r: &Report| (r.shift, r.baton) == (report.shift, report.baton) && r.tasks == report.tasks;
         let same = machine.report.as_ref().is_some_and(alike);
         if machine.shift() != Some(report.shift) {
             // Its lease ran out although we answered: it does not hear us.
@@ -353,16 +357,32 @@
     pub fn forgive(&mut self, now: Duration) {
         for machine in self.machines.values_mut() {
             machine.heard = now;
+            machine.direct = now;
         }
     }
 
     /// Marks machines that must go: silent ones, ones that never came up, ones
     /// that fail everything. `silent` is the longest accepted silence.
-    pub fn judge(&mut self, now: Duration, silent: Duration) -> usize {
+    ///
+    /// A zone that falls silent at once is cut off rather than broken: its
+    /// machines may be heard through a sibling soon. They are given until their
+    /// leases have run out and half of what others would need to boot.
+    pub fn judge(&mut self, now: Duration, silent: Duration, lease: Duration) -> usize {
         let mut judged = 0;
+        let mut zones: HashMap<String, (u32, u32)> = HashMap::new();
+        let was_up = |m: &&Machine| m.leaving.is_none() && (m.proven || m.was_up);
+        for machine in self.machines.values().filter(was_up) {
+            let (quiet, all) = zones.entry(machine.pool.zone.clone()).or_default();
+            *quiet += u32::from(now.saturating_sub(machine.direct) > silent / 2);
+            *all += 1;
+        }
+        let short = silent;
         for machine in self.machines.values_mut().filter(|m| m.leaving.is_none()) {
-            let quiet = now.saturating_sub(machine.heard);
+            let (silent_here, all) = zones.get(&machine.pool.zone).copied().unwrap_or_default();
             let boot = self.rigs.get(&machine.pool.rig).map_or(Duration::from_secs(60), |r| r.boot);
+            let cut = silent_here > 2 && silent_here * 2 > all;
+            let silent = if cut { short.max(lease + boot / 2) } else { short };
+            let quiet = now.saturating_sub(machine.heard);
             // A machine that was taken before a new leader came never reports to
             // it: only silence tells, not the patience for a boot.
             let reason = if machine.newest.is_none() && !machine.was_up {
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -8,6 +8,9 @@
 impl Leader {
     pub fn tick(&mut self, times: Times, firm: bool, desk: &mut Desk, out: &mut Out) {
         let now = times.now;
+        if std::mem::take(&mut self.reached) || self.stage == Stage::Loading {
+            self.contact = now;
+        }
         if self.stage == Stage::Loading {
             if self.load_due.is_some_and(|due| now >= due) {
                 // Whatever failed, reading starts over: rows are idempotent.
@@ -76,15 +79,13 @@
         up.peek().is_none() || up.any(|m| now.saturating_sub(m.heard) < recent)
     }
 
-    /// Whether no worker at all has been heard for so long that another node
+    /// Whether no worker at all has reached this node for so long that another
     /// should try to lead.
     pub fn isolated(&self, now: Duration) -> bool {
         let patience = self.settings.report * 3 + Duration::from_secs(2);
-        let up = self.fleet.machines.values().filter(|m| m.up());
-        let last = up.clone().map(|m| m.heard).max();
         self.stage == Stage::Ready
-            && up.count() > 1
-            && last.is_some_and(|at| now.saturating_sub(at) > patience)
+            && now.saturating_sub(self.contact) > patience
+            && self.fleet.machines.values().filter(|m| m.up()).count() > 1
     }
 
     fn mind_machines(&mut self, now: Duration, firm: bool) {
@@ -94,7 +95,7 @@
             if !std::mem::replace(&mut self.sound, true) {
                 self.fleet.forgive(now);
             }
-            self.dirty |= self.fleet.judge(now, silent) > 0;
+            self.dirty |= self.fleet.judge(now, silent, self.settings.lease) > 0;
         } else {
             // A leader that is cut off hears nobody, and its requests to the
             // cloud may be carried out when the cut ends: it would give back
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -184,6 +184,9 @@
     /// Run time over estimate, by class.
     ratios: HashMap<String, f64>,
     late_due: Duration,
+    /// A worker reached this node itself; `contact`: when that was last looked at.
+    reached: bool,
+    contact: Duration,
     /// Whether silence of a machine could be blamed on the machine.
     sound: bool,
     /// The jobs of the last interval: when each came, and what it was.
@@ -237,6 +240,8 @@
             team_places: settings.teams.keys().cloned().zip(0..).collect(),
             ratios: HashMap::new(),
             late_due: now,
+            reached: false,
+            contact: now,
             sound: true,
             arrivals: VecDeque::new(),
             opened: None,
--- a/crates/plankhead-core/src/leader/takeover.rs
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -99,6 +99,7 @@
         }
         for machine in self.fleet.machines.values_mut() {
             machine.heard = machine.heard.max(now);
+            machine.direct = machine.heard;
         }
         for host in self.ledger_hosts() {
             self.fleet.expect(&host, now);
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -17,8 +17,16 @@
 
     /// Answers a report. `adrift`: neither the state service nor any sibling is
     /// heard, so that somebody else may lead by now.
-    pub fn beat(&mut self, times: Times, report: Report, adrift: bool, desk: &Desk, out: &mut Out) -> Answer {
+    pub fn beat(
+        &mut self,
+        times: Times,
+        report: Report,
+        (relayed, adrift): (bool, bool),
+        desk: &Desk,
+        out: &mut Out,
+    ) -> Answer {
         let now = times.now;
+        self.reached |= !relayed;
         if !self.may_answer(now) || self.fleet.is_gone(&report.host) {
             return Answer::Unavailable { retry: Duration::from_secs(1) };
         }
@@ -32,6 +40,9 @@
             // A copy gets no orders, nor counts as heard.
             return Answer::Beat { baton: self.baton, orders: Vec::new() };
         };
+        if !relayed {
+            machine.direct = now;
+        }
         // Who finds no other leader comes back before its lease runs out.
         let patience = self.settings.lease.mul_f64(0.6);
         if adrift && machine.sent_off.is_none_or(|at| now.saturating_sub(at) > patience) {
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -6,8 +6,8 @@
 use crate::job::JobId;
 use crate::leader::{Deed, Leader};
 use crate::protocol::{
-    Answer, Ask, Call, CallError, CloudOp, CloudReply, Effect, Event, Level, Order, Progress, Pulse, Report,
-    Rig, StateOp, StateReply,
+    Answer, Ask, Call, CallError, CloudOp, CloudReply, Effect, Event, HostName, Level, Order, Progress,
+    Pulse, Report, Rig, StateOp, StateReply,
 };
 use crate::settings::Settings;
 use std::collections::{BTreeMap, HashMap};
@@ -29,6 +29,12 @@
 /// Jobs whose progress one pulse tells.
 const MOST_PROGRESS: usize = 300;
 
+/// A worker that comes back this long after it was sent to the leader has not
+/// reached it; after the longer time it says nothing.
+const SENT: Duration = Duration::from_secs(1);
+const SENT_LIFE: Duration = Duration::from_secs(15);
+const MOST_SENT: usize = 2_000;
+
 /// What a call was for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Purpose {
@@ -124,6 +130,8 @@
     siblings: HashMap<String, (Duration, Pulse)>,
     /// Since when the state service has failed every call.
     state_bad: Option<Duration>,
+    /// Workers sent to a leader: under which token, and when.
+    sent: HashMap<HostName, (u64, Duration)>,
 }
 
 impl Node {
@@ -141,6 +149,7 @@
             pulse_due: Duration::ZERO,
             siblings: HashMap::new(),
             state_bad: None,
+            sent: HashMap::new(),
         }
     }
 
@@ -169,8 +178,8 @@
             }
             Event::Poll { ask, id } => self.desk.poll(now, ask, id, &mut self.out),
             Event::Abort { ask, id } => self.desk.abort(now, ask, id, &mut self.out),
-            Event::Beat { ask, report } => {
-                let answer = self.beat(times, report);
+            Event::Beat { ask, report, relayed } => {
+                let answer = self.beat(times, report, relayed);
                 self.out.answer(ask, answer);
             }
             Event::State { call, reply } => {
@@ -256,18 +265,37 @@
         }
     }
 
-    fn beat(&mut self, times: Times, report: Report) -> Answer {
+    fn beat(&mut self, times: Times, report: Report, relayed: bool) -> Answer {
         let now = times.now;
         let adrift = !self.election.firm(now) && !self.company(now);
         if let Some(leader) = &mut self.leader {
             if report.baton <= leader.baton {
-                return leader.beat(times, report, adrift, &self.desk, &mut self.out);
+                return leader.beat(times, report, (relayed, adrift), &self.desk, &mut self.out);
             }
             // A worker has seen a later token than ours.
             let verdict = self.election.lost();
             self.verdict(times, verdict);
         }
-        Answer::Elsewhere { foreman: self.foreman(now, report.baton) }
+        let Some((baton, foreman)) = self.foreman(now, report.baton) else {
+            return Answer::Elsewhere { foreman: None };
+        };
+        // Who knows the leader's token, or was sent there and is back, can't
+        // reach it.
+        let back = |(to, at): &(u64, Duration)| {
+            let since = now.saturating_sub(*at);
+            *to == baton && since > SENT && since < SENT_LIFE
+        };
+        let known = baton == report.baton || self.sent.get(&report.host).is_some_and(back);
+        if known && !relayed {
+            return Answer::Relay { foreman };
+        }
+        if self.sent.len() >= MOST_SENT {
+            self.sent.retain(|_, (_, at)| now.saturating_sub(*at) < SENT_LIFE);
+        }
+        if self.sent.len() < MOST_SENT {
+            self.sent.insert(report.host, (baton, now));
+        }
+        Answer::Elsewhere { foreman: Some(foreman) }
     }
 
     /// Whether a sibling was heard lately.
@@ -277,12 +305,12 @@
 
     /// The node that leads, under no earlier token than `least`: by its key, or
     /// by its own word where the state service does not serve us.
-    fn foreman(&self, now: Duration, least: u64) -> Option<String> {
+    fn foreman(&self, now: Duration, least: u64) -> Option<(u64, String)> {
         let heard = self.siblings.values().filter(|(at, _)| now.saturating_sub(*at) < PULSE_LIFE);
         let told = heard.map(|(_, pulse)| (pulse.baton, &pulse.host));
         let read = self.election.foreman.iter().map(|(host, baton)| (*baton, host));
         let latest = told.chain(read).filter(|(baton, _)| *baton > 0 && *baton >= least).max();
-        latest.map(|(_, host)| host.clone())
+        latest.map(|(baton, host)| (baton, host.clone()))
     }
 
     fn catalog(&mut self, now: Duration, reply: Result<CloudReply, CallError>) {
@@ -360,7 +388,7 @@
             "host": self.settings.host,
             "stateOk": self.state_bad.is_none(),
             "leader": self.leader.as_ref().map(|l| l.view(times)),
-            "foreman": self.foreman(times.now, 0),
+            "foreman": self.foreman(times.now, 0).map(|(_, host)| host),
             "siblings": siblings,
         })
     }
--- a/crates/plankhead-core/src/protocol.rs
+++ b/crates/plankhead-core/src/protocol.rs
@@ -26,9 +26,11 @@
         ask: Ask,
         id: JobId,
     },
+    /// `relayed`: through a sibling, since the worker can't reach this node.
     Beat {
         ask: Ask,
         report: Report,
+        relayed: bool,
     },
     State {
         call: Call,
@@ -124,6 +126,11 @@
     Elsewhere {
         foreman: Option<String>,
     },
+    /// The worker knows this leader already, so that it can't reach it now:
+    /// its report is to be passed on, and the answer passed back.
+    Relay {
+        foreman: String,
+    },
     View(serde_json::Value),
 }
 
--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -159,7 +159,11 @@
 #[test]
 fn chunks_survive_a_takeover() {
     let mut old = ledger(6);
-    old.observe(&report(3, 1, &[(1, 1, Seen::Ended(Cause::Done)), (2, 1, Seen::Ended(Cause::Error))]), false, NOW);
+    old.observe(
+        &report(3, 1, &[(1, 1, Seen::Ended(Cause::Done)), (2, 1, Seen::Ended(Cause::Error))]),
+        false,
+        NOW,
+    );
     let mut new = Ledger::default();
     new.upsert(&id(), record(Phase::Live, 10), 5, NOW, None, 4);
     for chunk in 0..2 {
@@ -214,8 +218,8 @@
     let silent = Duration::from_secs(6);
     let mut fleet = Fleet::default();
     fleet.expect(&"i-1".into(), NOW);
-    assert_eq!(fleet.judge(NOW + silent, silent), 0);
-    assert_eq!(fleet.judge(NOW + silent + Duration::from_millis(1), silent), 1);
+    assert_eq!(fleet.judge(NOW + silent, silent, silent * 2), 0);
+    assert_eq!(fleet.judge(NOW + silent + Duration::from_millis(1), silent, silent * 2), 1);
     assert_eq!(fleet.machines["i-1"].leaving, Some(Leaving::Silent));
 }
 
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -582,7 +582,7 @@
                 if let Some((boot, _)) = &self.nodes[node] {
                     let boot = *boot;
                     self.last_ask += 1;
-                    let event = Event::Beat { ask: self.last_ask, report };
+                    let event = Event::Beat { ask: self.last_ask, report, relayed: false };
                     self.at(ms(1), Happening::ToNode { node, boot, event });
                 }
             }
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -182,7 +182,7 @@
         let boot = *boot;
         self.last_ask += 1;
         let ask = self.last_ask;
-        let event = Event::Beat { ask, report };
+        let event = Event::Beat { ask, report, relayed: false };
         let held = if cut { self.workers[&host].cut - now } else { Duration::ZERO };
         self.asks.insert((node, boot, ask), Asked::Beat { host, sent: now, shift, tick });
         // A cut holds the report back and delivers it late.
--- a/crates/plankhead/src/api.rs
+++ b/crates/plankhead/src/api.rs
@@ -40,7 +40,7 @@
                 Err(reply) => return reply,
             };
             match wire::report(&body) {
-                Ok(report) => handle.ask(Ask::Beat { report }).await,
+                Ok(report) => handle.beat(report, &body).await,
                 Err(reason) => {
                     tracing::debug!("a malformed report was dropped: {reason}");
                     Reply::error(400, &reason)
--- a/crates/plankhead/src/driver.rs
+++ b/crates/plankhead/src/driver.rs
@@ -28,7 +28,7 @@
 /// No request waits longer than this.
 const PATIENCE: Duration = Duration::from_secs(4);
 /// Connections on the controller port.
-const MOST_PEERS: usize = 32;
+const MOST_PEERS: usize = 64;
 
 #[derive(Debug, Error)]
 pub enum RunError {
@@ -44,7 +44,7 @@
     Submit { id: JobId, job: Result<JobSpec, String> },
     Poll { id: JobId },
     Abort { id: JobId },
-    Beat { report: Report },
+    Beat { report: Report, relayed: bool },
     View,
 }
 
@@ -54,7 +54,7 @@
             Request::Submit { id, job } => Event::Submit { ask, id, job },
             Request::Poll { id } => Event::Poll { ask, id },
             Request::Abort { id } => Event::Abort { ask, id },
-            Request::Beat { report } => Event::Beat { ask, report },
+            Request::Beat { report, relayed } => Event::Beat { ask, report, relayed },
             Request::View => Event::View { ask },
         }
     }
@@ -71,6 +71,7 @@
 pub struct Handle {
     queue: mpsc::Sender<Command>,
     healthy: Arc<AtomicBool>,
+    siblings: Siblings,
 }
 
 impl Handle {
@@ -83,28 +84,52 @@
     }
 
     /// Asks the core, and refuses at once when it has too much to do.
-    pub async fn ask(&self, request: Request) -> Reply {
+    async fn answer(&self, request: Request) -> Result<Answer, Reply> {
         let (sender, receiver) = oneshot::channel();
         if self.send(Command::Ask(request, sender)).is_err() {
-            return Reply::error(503, "too much to do");
+            return Err(Reply::error(503, "too much to do"));
         }
         match timeout(PATIENCE, receiver).await {
-            Ok(Ok(answer)) => {
-                let (status, body, retry) = wire::answer(&answer);
-                Reply { status, body: body.to_string().into_bytes(), retry }
-            }
-            _ => Reply::error(503, "no answer in time"),
+            Ok(Ok(answer)) => Ok(answer),
+            _ => Err(Reply::error(503, "no answer in time")),
+        }
+    }
+
+    pub async fn ask(&self, request: Request) -> Reply {
+        self.answer(request).await.map_or_else(|refusal| refusal, |answer| reply(&answer))
+    }
+
+    /// Asks about a report, or has a sibling that leads asked.
+    pub async fn beat(&self, report: Report, body: &[u8]) -> Reply {
+        match self.answer(Request::Beat { report, relayed: false }).await {
+            Ok(Answer::Relay { foreman }) => match self.siblings.get(&foreman) {
+                Some(sibling) => sibling.relay(body).await.unwrap_or_else(|| reply(&NOBODY)),
+                None => reply(&NOBODY),
+            },
+            Ok(answer) => reply(&answer),
+            Err(refusal) => refusal,
         }
     }
 }
 
+/// For a worker that no node could help.
+const NOBODY: Answer = Answer::Elsewhere { foreman: None };
+
+fn reply(answer: &Answer) -> Reply {
+    let (status, body, retry) = wire::answer(answer);
+    Reply { status, body: body.to_string().into_bytes(), retry }
+}
+
+/// The other nodes by name.
+type Siblings = Arc<HashMap<String, Arc<Sibling>>>;
+
 /// The adapters that effects go to.
 struct Outside {
     queue: mpsc::Sender<Command>,
     state: Arc<Client>,
     cloud: Arc<Client>,
     agents: Arc<Agents>,
-    siblings: Vec<Arc<Sibling>>,
+    siblings: Siblings,
     asks: HashMap<Ask, oneshot::Sender<Answer>>,
 }
 
@@ -133,7 +158,7 @@
             }
             Effect::Pulse(pulse) => {
                 if let Some(bytes) = peer::encode(&pulse) {
-                    for sibling in &self.siblings {
+                    for sibling in self.siblings.values() {
                         sibling.tell(bytes.clone());
                     }
                 }
@@ -160,7 +185,9 @@
 pub async fn run(config: Config) -> Result<(), RunError> {
     let (queue, mut commands) = mpsc::channel(MOST_COMMANDS);
     let healthy = Arc::new(AtomicBool::new(true));
-    let handle = Handle { queue: queue.clone(), healthy: healthy.clone() };
+    let sibling = |(name, at): &(String, _)| (name.clone(), Arc::new(Sibling::new(*at)));
+    let siblings: Siblings = Arc::new(config.siblings.iter().map(sibling).collect());
+    let handle = Handle { queue: queue.clone(), healthy: healthy.clone(), siblings: siblings.clone() };
     let (users, peers) = (listen(config.api).await?, listen(config.peer).await?);
     let to_api = handle.clone();
     tokio::spawn(http::serve(users, config.connections, move |r| api::handle(to_api.clone(), r)));
@@ -170,7 +197,7 @@
         state: Arc::new(Client::new(config.state)),
         cloud: Arc::new(Client::new(config.cloud)),
         agents: Arc::default(),
-        siblings: config.siblings.iter().map(|(_, a)| Arc::new(Sibling::new(*a))).collect(),
+        siblings,
         asks: HashMap::new(),
     };
     let mut node = Node::new(config.core);
--- a/crates/plankhead/src/peer.rs
+++ b/crates/plankhead/src/peer.rs
@@ -3,16 +3,23 @@
 
 use crate::driver::{Command, Handle, Request as Ask};
 use crate::http::{self, Client, Reply};
+use crate::wire;
 use hyper::body::Incoming;
-use hyper::{Method, Request};
+use hyper::{Method, Request, StatusCode};
 use plankhead_core::protocol::{Event, Progress, Pulse};
 use rkyv::{Archive, Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(1);
+/// How long passing a report on may take, and the pause after a failure.
+const RELAY: Duration = Duration::from_millis(1500);
+const RELAY_PAUSE: Duration = Duration::from_secs(3);
+/// Reports under way to one sibling at most.
+const MOST_RELAYS: usize = 24;
+const MOST_RELAY: usize = http::MOST_REQUEST + 1024;
 const MOST_PULSE: usize = 128 * 1024;
 const MOST_PROGRESS: usize = 1_000;
 
@@ -36,10 +43,7 @@
 }
 
 pub fn decode(bytes: &[u8]) -> Option<Pulse> {
-    // The archive must lie aligned in memory.
-    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
-    aligned.extend_from_slice(bytes);
-    let message = rkyv::from_bytes::<PulseMessage, rkyv::rancor::Error>(&aligned).ok()?;
+    let message = rkyv::from_bytes::<PulseMessage, rkyv::rancor::Error>(&aligned(bytes)).ok()?;
     if message.progress.len() > MOST_PROGRESS || message.host.len() > 200 {
         return None;
     }
@@ -52,16 +56,84 @@
     })
 }
 
+/// A worker's report, as it came, for the node that leads.
+#[derive(Archive, Serialize, Deserialize)]
+struct RelayMessage {
+    report: Vec<u8>,
+}
+
+/// What the worker is to be answered.
+#[derive(Archive, Serialize, Deserialize)]
+struct RelayReply {
+    status: u16,
+    body: Vec<u8>,
+    retry_ms: Option<u64>,
+}
+
+/// The archive must lie aligned in memory.
+fn aligned(bytes: &[u8]) -> rkyv::util::AlignedVec<16> {
+    let mut aligned = rkyv::util::AlignedVec::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    aligned
+}
+
+pub fn relay_message(report: &[u8]) -> Option<Vec<u8>> {
+    let message = RelayMessage { report: report.to_vec() };
+    rkyv::to_bytes::<rkyv::rancor::Error>(&message).ok().map(|bytes| bytes.to_vec())
+}
+
+fn relay_reply(reply: &Reply) -> Option<Vec<u8>> {
+    let retry_ms = reply.retry.map(|r| r.as_millis() as u64);
+    let message = RelayReply { status: reply.status, body: reply.body.clone(), retry_ms };
+    rkyv::to_bytes::<rkyv::rancor::Error>(&message).ok().map(|bytes| bytes.to_vec())
+}
+
 /// A sibling, told at most one thing at a time.
 #[derive(Debug)]
 pub struct Sibling {
     client: Client,
     busy: AtomicBool,
+    relays: Client,
+    relaying: AtomicUsize,
+    /// When passing a report on failed last.
+    failed: Mutex<Option<Instant>>,
 }
 
 impl Sibling {
     pub fn new(address: SocketAddr) -> Self {
-        Self { client: Client::new(address), busy: AtomicBool::new(false) }
+        let (client, relays) = (Client::new(address), Client::new(address));
+        Self {
+            client,
+            busy: AtomicBool::new(false),
+            relays,
+            relaying: AtomicUsize::new(0),
+            failed: Mutex::new(None),
+        }
+    }
+
+    /// Passes a worker's report on, and the answer back. After a failure others
+    /// are turned away at once for a while.
+    pub async fn relay(&self, report: &[u8]) -> Option<Reply> {
+        let failed = || self.failed.lock().unwrap_or_else(PoisonError::into_inner);
+        let paused = failed().is_some_and(|at| at.elapsed() < RELAY_PAUSE);
+        let message = relay_message(report)?;
+        if paused || self.relaying.load(Ordering::Relaxed) >= MOST_RELAYS {
+            return None;
+        }
+        self.relaying.fetch_add(1, Ordering::Relaxed);
+        let answer = self.relays.call(Method::POST, "/relay", message, RELAY).await;
+        self.relaying.fetch_sub(1, Ordering::Relaxed);
+        match answer {
+            Ok((StatusCode::OK, body)) => {
+                let reply = rkyv::from_bytes::<RelayReply, rkyv::rancor::Error>(&aligned(&body)).ok()?;
+                let retry = reply.retry_ms.map(Duration::from_millis);
+                Some(Reply { status: reply.status, body: reply.body, retry })
+            }
+            _ => {
+                *failed() = Some(Instant::now());
+                None
+            }
+        }
     }
 
     /// Sends a pulse, unless the one before is still on its way.
@@ -93,8 +165,23 @@
                 Err(_) => Reply::error(503, "too much to do"),
             }
         }
+        (Method::POST, "/relay") => {
+            let body = match http::body(request, MOST_RELAY).await {
+                Ok(body) => body,
+                Err(reply) => return reply,
+            };
+            let message = rkyv::from_bytes::<RelayMessage, rkyv::rancor::Error>(&aligned(&body)).ok();
+            let Some(report) = message.and_then(|m| wire::report(&m.report).ok()) else {
+                return Reply::error(400, "not a report");
+            };
+            let answer = handle.ask(Ask::Beat { report, relayed: true }).await;
+            match relay_reply(&answer) {
+                Some(body) => Reply { status: 200, body, retry: None },
+                None => Reply::error(503, "no answer"),
+            }
+        }
         (Method::GET, "/view") => handle.ask(Ask::View).await,
-        (_, "/pulse" | "/view") => Reply::error(405, "wrong method"),
+        (_, "/pulse" | "/relay" | "/view") => Reply::error(405, "wrong method"),
         _ => Reply::error(404, "no such path"),
     }
 }
--- a/crates/plankhead/src/wire.rs
+++ b/crates/plankhead/src/wire.rs
@@ -124,7 +124,7 @@
             (200, json!({"baton": baton, "orders": orders}), None)
         }
         Answer::Elsewhere { foreman: Some(host) } => (421, json!({"foreman": host}), None),
-        Answer::Elsewhere { foreman: None } => (421, json!({}), None),
+        Answer::Elsewhere { foreman: None } | Answer::Relay { .. } => (421, json!({}), None),
         Answer::View(view) => (200, view.clone(), None),
     }
 }
