--- a/crates/plankhead-core/src/sizing.rs
+++ b/crates/plankhead-core/src/sizing.rs
@@ -2,7 +2,7 @@
 
 /// A slowdown above this at the limit is overload: on average jobs wait as long
 /// as they run.
-const OVERLOAD: f64 = 2.0;
+const OVERLOAD: f64 = 1.5;
 
 /// A climb from the least size towards the limit: the first trial whose
 /// slowdown is at most `threshold` decides.
--- a/crates/plankhead-core/tests/scheduling.rs
+++ b/crates/plankhead-core/tests/scheduling.rs
@@ -204,7 +204,7 @@
 #[test]
 fn climb_halves_the_way_to_the_limit() {
     let climb = |least, slowdown: &dyn Fn(u32) -> f64| {
-        let mut climb = Climb::new(least, 32, 48, 1.5);
+        let mut climb = Climb::new(least, 32, 48, 1.2);
         let mut trials = Vec::new();
         while climb.size().is_none() {
             trials.push(climb.trial());
@@ -212,12 +212,12 @@
         }
         (trials, climb.size().unwrap())
     };
-    assert_eq!(climb(4, &|l| if l >= 25 { 1.5 } else { 9.0 }), (vec![4, 18, 25], 25));
-    assert_eq!(climb(4, &|_| 1.9).1, 32);
-    assert_eq!(climb(4, &|_| 1.5).1, 4);
-    assert_eq!(climb(30, &|l| if l >= 40 { 1.5 } else { 9.0 }), (vec![30, 31, 32, 40], 40));
+    assert_eq!(climb(4, &|l| if l >= 25 { 1.2 } else { 9.0 }), (vec![4, 18, 25], 25));
+    assert_eq!(climb(4, &|_| 1.4).1, 32);
+    assert_eq!(climb(4, &|_| 1.2).1, 4);
+    assert_eq!(climb(30, &|l| if l >= 40 { 1.2 } else { 9.0 }), (vec![30, 31, 32, 40], 40));
     assert_eq!(climb(4, &|_| 9.0).1, 48);
-    assert_eq!(climb(40, &|_| 1.9).1, 40, "busy machines are never below the size");
+    assert_eq!(climb(40, &|_| 1.4).1, 40, "busy machines are never below the size");
 }
 
 /// Portions of any size give the same slowdown.
