Chunks of cancelled jobs go soon; S is 1.15

Cause: chunks of cancelled jobs waited for spare writes, so that each new leader waited for proof of attempts long gone, and gave up on machines of a cut zone.

--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -18,6 +18,7 @@
                 self.page_after = None;
                 self.rows.clear();
                 self.garbage.clear();
+                self.pressing = 0;
                 self.load(now, out);
             }
             self.list_hosts(now, out);
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -155,6 +155,8 @@
     cloud: Bucket,
     reading: HashSet<String>,
     garbage: Vec<String>,
+    /// How many of these, at the front, should go soon.
+    pressing: usize,
     sweeping: bool,
     /// Something changed that may let tasks start.
     dirty: bool,
@@ -216,6 +218,7 @@
             cloud: Bucket::new(settings.cloud_rps * 0.8, settings.cloud_rps),
             reading: HashSet::new(),
             garbage: Vec::new(),
+            pressing: 0,
             sweeping: false,
             dirty: true,
             pass_due: now,
--- a/crates/plankhead-core/src/leader/writing.rs
+++ b/crates/plankhead-core/src/leader/writing.rs
@@ -143,7 +143,12 @@
             }
             desk.over(&id, Status::Cancelled, 0);
             if let Some(entry) = self.ledger.remove(&id) {
+                // The next leader would wait for proof of all that is left here.
+                let before = self.garbage.len();
                 self.discard(&id, &entry);
+                let added = self.garbage.len() - before;
+                self.garbage.rotate_right(added);
+                self.pressing += added;
             }
         }
     }
@@ -184,15 +189,17 @@
     /// Drops chunks that nobody needs, when there is room to write.
     pub(super) fn sweep(&mut self, now: Duration, out: &mut Out) {
         let spare = self.writes.available(now) as f64 >= self.settings.write_rps * 0.4;
-        if self.sweeping || self.garbage.is_empty() || !spare || now < self.hold_until {
+        let due = spare || self.pressing > 0;
+        if self.sweeping || self.garbage.is_empty() || !due || now < self.hold_until {
             return;
         }
-        let most = self.settings.txn_ops.min(self.garbage.len());
+        let most = if spare { self.garbage.len() } else { self.pressing.min(self.garbage.len()) };
+        let most = self.settings.txn_ops.min(most).min(self.writes.available(now));
         let keys: Vec<String> = self.garbage.drain(..most).collect::<BTreeSet<_>>().into_iter().collect();
-        if !self.writes.take(now, keys.len()) {
-            self.garbage.extend(keys);
+        if keys.is_empty() || !self.writes.take(now, keys.len()) {
             return;
         }
+        self.pressing = self.pressing.saturating_sub(keys.len());
         self.sweeping = true;
         let changes = keys.iter().map(|k| Change::Drop { key: k.clone() }).collect();
         self.state(Deed::Sweep(keys), StateOp::Txn { conditions: vec![self.lead()], changes }, out);
--- a/crates/plankhead-core/src/settings.rs
+++ b/crates/plankhead-core/src/settings.rs
@@ -34,7 +34,7 @@
 
 impl Default for Sizing {
     fn default() -> Self {
-        Self { threshold: 1.1, interval: Duration::from_secs(50), capacity: None }
+        Self { threshold: 1.15, interval: Duration::from_secs(50), capacity: None }
     }
 }
 
