--- a/crates/plankhead-core/src/sizing.rs
+++ b/crates/plankhead-core/src/sizing.rs
@@ -4,6 +4,11 @@
 /// as they run.
 const OVERLOAD: f64 = 1.5;
 
+/// A trial larger by this factor than the one before must bring the slowdown
+/// down to this share.
+const STRIDE: f64 = 1.1;
+const GAIN: f64 = 0.98;
+
 /// A climb from the least size towards the limit: the first trial whose
 /// slowdown is at most `threshold` decides.
 #[derive(Debug, Clone, Copy)]
@@ -14,12 +19,14 @@
     beyond: u32,
     threshold: f64,
     decided: bool,
+    /// The trial before, and its slowdown.
+    before: Option<(u32, f64)>,
 }
 
 impl Climb {
     pub fn new(least: u32, most: u32, beyond: u32, threshold: f64) -> Self {
         let beyond = beyond.max(most);
-        Self { trial: least, most, beyond, threshold, decided: least >= beyond }
+        Self { trial: least, most, beyond, threshold, decided: least >= beyond, before: None }
     }
 
     /// The size, once it is decided.
@@ -35,6 +42,16 @@
     /// Takes in the slowdown on the trial size; the next trial lies halfway to
     /// the limit.
     pub fn measured(&mut self, slowdown: f64) {
+        // Jobs that wait for their team's cap gain nothing from more machines.
+        let vain = |(size, before): &(u32, f64)| {
+            f64::from(self.trial) >= f64::from(*size) * STRIDE && slowdown > before * GAIN
+        };
+        if let Some((trial, _)) = self.before.filter(vain) {
+            self.trial = trial;
+            self.decided = true;
+            return;
+        }
+        self.before = Some((self.trial, slowdown));
         if self.trial >= self.most && slowdown > OVERLOAD {
             self.most = self.beyond;
         }
