--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -81,7 +81,7 @@
         self.places.image(&spec.image, spec.image_gb).unwrap_or(0)
     }
 
-    /// The jobs of the last interval, as if they came again in the next.
+    /// The jobs of the last interval, as if they came again in the next and on.
     pub(super) fn expected(&mut self, now: Duration) -> Vec<Arrival> {
         let interval = self.settings.sizing.interval;
         let window = interval.min(now.saturating_sub(self.began).max(LEAST_WINDOW));
@@ -90,11 +90,13 @@
         let mut expected = Vec::new();
         let mut shift = window;
         let seen: Vec<(Duration, Arc<JobSpec>)> = self.arrivals.iter().cloned().collect();
-        // A leader younger than the interval repeats what it saw.
-        while shift < interval + window {
+        // Half an interval more shows whether a backlog grows. A leader younger than
+        // the interval repeats what it saw.
+        let horizon = interval + interval / 2;
+        while shift < horizon + window {
             for (at, spec) in &seen {
                 let at = *at + shift;
-                if let Some(team) = self.team_of(spec).filter(|_| at < now + interval) {
+                if let Some(team) = self.team_of(spec).filter(|_| at < now + horizon) {
                     expected.push(Arrival { at, work: self.all_of(spec, team, at) });
                 }
             }
--- a/crates/plankhead-core/src/sizing.rs
+++ b/crates/plankhead-core/src/sizing.rs
@@ -1,8 +1,8 @@
 //! The halving climb over trial sizes (the paper, section 3.3).
 
-/// A slowdown above this at the limit is overload: on average jobs wait as long
-/// as they run.
-const OVERLOAD: f64 = 1.5;
+/// A slowdown above this at the limit is overload: on average jobs wait for two
+/// fifths of their time to run.
+const OVERLOAD: f64 = 1.4;
 
 /// A trial larger by this factor than the one before must bring the slowdown
 /// down to this share.
