Connections to workers are let go one at a time; test of wide jobs

Cause: past 128 workers all kept connections were dropped at once, and a fleet of hundreds connected anew over and over. How many are kept follows from the sockets allowed.

--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -5,6 +5,7 @@
 mod world;
 
 use plankhead_core::job::Urgency;
+use std::time::Duration;
 use world::{secs, Troubles, World};
 
 /// Plays histories and expects every job to come to its end.
@@ -174,3 +175,32 @@
     assert!(world.jobs[1].done_or_cancelled(), "the urgent job waits behind a standard one");
     assert!(!world.jobs[0].done_or_cancelled());
 }
+
+/// Urgent tasks of half a machine that keep coming must not keep tasks of a
+/// whole one out for ever: these begin within four minutes.
+#[test]
+fn small_jobs_do_not_starve_a_wide_one() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, Troubles::default());
+        world.capacity = 3;
+        world.plan(120, secs(1));
+        for (n, job) in world.jobs.iter_mut().enumerate() {
+            let wide = n == 0;
+            job.spec.urgency = if wide { Urgency::Standard } else { Urgency::Urgent };
+            job.spec.team = if wide { "b".into() } else { "a".into() };
+            job.spec.tasks = if wide { 2 } else { 1 };
+            job.spec.each.cpus = if wide { 8.0 } else { 4.0 };
+            job.spec.estimate = 8.0;
+            job.runs = 8.0;
+            (job.spec.spot, job.spec.zone, job.spec.one_zone, job.spec.scatter) = (true, None, false, false);
+        }
+        world.arrive(0, secs(40));
+        for job in 1..120 {
+            world.arrive(job, Duration::from_millis(job as u64 * 2200));
+        }
+        world.run(secs(1500));
+        let wide = &world.jobs[0];
+        assert!(wide.began.unwrap() <= wide.since.unwrap() + secs(240), "seed {seed}: began late");
+        assert!(world.settled(), "seed {seed}");
+    }
+}
--- a/crates/plankhead/src/agent.rs
+++ b/crates/plankhead/src/agent.rs
@@ -6,27 +6,39 @@
 use plankhead_core::protocol::{CallError, Order, OrdersReply};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(2);
-/// Workers whose connections are kept.
-const MOST_CLIENTS: usize = 128;
 
-/// Clients by address; cleared when there are too many.
-#[derive(Debug, Default)]
-pub struct Agents(Mutex<HashMap<Arc<str>, Arc<Client>>>);
+type Clients = HashMap<Arc<str>, (Instant, Arc<Client>)>;
+
+/// Clients by address, with the time of their last use.
+#[derive(Debug)]
+pub struct Agents {
+    clients: Mutex<Clients>,
+    /// Workers whose connections are kept.
+    most: usize,
+}
 
 impl Agents {
+    pub fn new(most: usize) -> Self {
+        Self { clients: Mutex::default(), most }
+    }
+
     fn client(&self, address: &Arc<str>) -> Option<Arc<Client>> {
-        let mut clients = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(client) = clients.get(address) {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((used, client)) = clients.get_mut(address) {
+            *used = Instant::now();
             return Some(client.clone());
         }
-        if clients.len() >= MOST_CLIENTS {
-            clients.clear();
+        if clients.len() >= self.most {
+            // With all of them gone at once, a large fleet would connect anew
+            // over and over.
+            let oldest = clients.iter().min_by_key(|(_, (used, _))| *used).map(|(a, _)| a.clone());
+            oldest.and_then(|address| clients.remove(&address));
         }
         let client = Arc::new(Client::new(address.parse().ok()?));
-        clients.insert(address.clone(), client.clone());
+        clients.insert(address.clone(), (Instant::now(), client.clone()));
         Some(client)
     }
 
--- a/crates/plankhead/src/config.rs
+++ b/crates/plankhead/src/config.rs
@@ -23,6 +23,8 @@
     pub state: SocketAddr,
     /// Connections accepted at a time.
     pub connections: usize,
+    /// Connections to workers kept at a time.
+    pub agents: usize,
     pub core: Settings,
 }
 
@@ -46,7 +48,8 @@
     #[cfg_attr(test, schemars(range(min = 5.0, max = 86400.0)))]
     pub interval_s: f64,
     /// U: machines of one type at most. Without it, what the teams' guarantees
-    /// would fill; either way less once the cloud refuses more.
+    /// would fill, and half as much again under overload; either way less once
+    /// the cloud refuses more.
     #[cfg_attr(test, schemars(range(min = 1, max = 10000)))]
     pub capacity: Option<u32>,
 }
@@ -268,6 +271,7 @@
         cloud: r.address(root, "endpoints.cloud"),
         state: r.address(root, "endpoints.state"),
         connections: (sockets * (1.0 - SOCKETS_KEPT)) as usize,
+        agents: (sockets * SOCKETS_KEPT / 2.0) as usize,
         core,
     }
 }
--- a/crates/plankhead/src/driver.rs
+++ b/crates/plankhead/src/driver.rs
@@ -196,7 +196,7 @@
         queue,
         state: Arc::new(Client::new(config.state)),
         cloud: Arc::new(Client::new(config.cloud)),
-        agents: Arc::default(),
+        agents: Arc::new(Agents::new(config.agents)),
         siblings,
         asks: HashMap::new(),
     };
