A machine is kept for tasks that wait long; a lone node sends users away

Cause, from a test of the model: urgent tasks of half a machine that kept coming kept tasks of a whole one out for as long as they came. After 60 s a machine is kept for the oldest such task unless more urgent work finds no other room, after 150 s in any case.

--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -5,7 +5,7 @@
 //! every machine for every job: it keeps the machines with room apart, and asks
 //! when a busy one opens only for a task that would have to fetch its image.
 
-use crate::job::Resources;
+use crate::job::{Resources, Urgency};
 use crate::queue::{TeamRoom, Turns, Work};
 use std::time::Duration;
 
@@ -48,6 +48,10 @@
 
 /// A task that waits for a machine does so for this long at least.
 const SOON: Duration = Duration::from_millis(1);
+/// A task that has waited this long has a machine kept for it, and after the
+/// longer time more urgent ones must leave it alone, too.
+const AGED: Duration = Duration::from_secs(60);
+const STRICT: Duration = Duration::from_secs(150);
 /// Tasks that one job may start before the next team's turn.
 const TURN: u32 = 4;
 
@@ -56,6 +60,10 @@
     slot: usize,
     at: Duration,
     each: Resources,
+    /// More urgent work may break it if it finds no room elsewhere.
+    yields: Option<Urgency>,
+    /// The work that it is for, if that may still start in this pass.
+    by: Option<usize>,
 }
 
 impl Slot {
@@ -204,10 +212,10 @@
 pub fn pass(now: Duration, slots: &mut [Slot], work: &mut [Work], teams: &mut [TeamRoom]) -> Vec<Start> {
     let mut starts = Vec::new();
     let mut turns = Turns::new(work, teams.len());
-    let mut held: Option<Reservation> = None;
     let least = least(work);
     let takes = |slot: &Slot| slot.ready <= now && least.fits(&slot.free);
     let mut room: Vec<usize> = (0..slots.len()).filter(|i| takes(&slots[*i])).collect();
+    let mut held = starved(slots, work, teams, now);
     while let Some(i) = turns.next(work, teams) {
         for _ in 0..TURN {
             if work[i].pending == 0 {
@@ -217,7 +225,12 @@
                 turns.close(work, i);
                 break;
             }
-            let Some(s) = choose(slots, &room, &work[i], now, held.as_ref()) else {
+            let binding = held.as_ref().filter(|h| h.by != Some(i));
+            let breaks = binding.is_some_and(|h| h.yields.is_some_and(|u| work[i].urgency > u));
+            let elsewhere = choose(slots, &room, &work[i], now, binding);
+            let found =
+                elsewhere.or_else(|| if breaks { choose(slots, &room, &work[i], now, None) } else { None });
+            let Some(s) = found else {
                 turns.close(work, i);
                 if held.is_none() {
                     held = reserve(slots, &work[i], now);
@@ -254,6 +267,20 @@
     starts
 }
 
+/// A reservation for the task that has waited longest for room, before anything
+/// else starts: small tasks that keep coming would fill every gap before it is
+/// wide enough, the more urgent ones for ever.
+fn starved(slots: &[Slot], work: &[Work], teams: &[TeamRoom], now: Duration) -> Option<Reservation> {
+    let waits = |w: &Work| {
+        let aged = w.pending > 0 && now.saturating_sub(w.accepted) > AGED;
+        aged && teams[w.team].admits(&w.each)
+    };
+    let (i, first) = work.iter().enumerate().filter(|(_, w)| waits(w)).min_by_key(|(_, w)| w.accepted)?;
+    let strict = now.saturating_sub(first.accepted) > STRICT;
+    let yields = if strict { None } else { Some(first.urgency) };
+    reserve(slots, first, now).map(|held| Reservation { yields, by: Some(i), ..held })
+}
+
 fn reserve(slots: &[Slot], work: &Work, now: Duration) -> Option<Reservation> {
     let mut best: Option<(Duration, usize)> = None;
     for (i, slot) in slots.iter().enumerate().filter(|(_, s)| suits(s, work)) {
@@ -262,5 +289,5 @@
             best = Some((at, i));
         }
     }
-    best.map(|(at, slot)| Reservation { slot, at, each: work.each })
+    best.map(|(at, slot)| Reservation { slot, at, each: work.each, yields: None, by: None })
 }
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -154,12 +154,14 @@
     }
 
     /// Whether users should be sent here. A node that the state service alone
-    /// refuses sends them to its siblings; when it fails all, nobody does.
+    /// refuses sends them to its siblings, and so does one that hears nobody at
+    /// all; when the state service fails all, nobody does.
     pub fn healthy(&self, now: Duration) -> bool {
         let refused = self.state_bad.is_some_and(|since| now.saturating_sub(since) > REFUSED);
         let better =
             self.siblings.values().any(|(at, pulse)| now.saturating_sub(*at) < PULSE_LIFE && pulse.state_ok);
-        !(refused && better)
+        let alone = !self.settings.siblings.is_empty() && !self.company(now);
+        !(refused && (better || alone))
     }
 
     pub fn step(&mut self, times: Times, batch: Vec<Event>) -> Vec<Effect> {
--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -183,7 +183,7 @@
     for seed in 0..6 {
         let mut world = World::new(seed, Troubles::default());
         world.capacity = 3;
-        world.plan(120, secs(1));
+        world.plan(260, secs(1));
         for (n, job) in world.jobs.iter_mut().enumerate() {
             let wide = n == 0;
             job.spec.urgency = if wide { Urgency::Standard } else { Urgency::Urgent };
@@ -195,8 +195,8 @@
             (job.spec.spot, job.spec.zone, job.spec.one_zone, job.spec.scatter) = (true, None, false, false);
         }
         world.arrive(0, secs(40));
-        for job in 1..120 {
-            world.arrive(job, Duration::from_millis(job as u64 * 2200));
+        for job in 1..260 {
+            world.arrive(job, Duration::from_millis(job as u64 * 1450));
         }
         world.run(secs(1500));
         let wide = &world.jobs[0];
--- a/crates/plankhead-core/tests/plain/mod.rs
+++ b/crates/plankhead-core/tests/plain/mod.rs
@@ -2,7 +2,7 @@
 //! and what the real one must give.
 
 use plankhead_core::easy::{Running, Slot, Start};
-use plankhead_core::job::Resources;
+use plankhead_core::job::{Resources, Urgency};
 use plankhead_core::queue::{TeamRoom, Work};
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -13,6 +13,8 @@
     slot: usize,
     at: Duration,
     each: Resources,
+    breakable: Option<Urgency>,
+    owner: Option<usize>,
 }
 
 fn free_at(slot: &Slot, at: Duration) -> Resources {
@@ -72,7 +74,15 @@
 pub fn pass(now: Duration, slots: &mut [Slot], work: &mut [Work], teams: &mut [TeamRoom]) -> Vec<Start> {
     let mut starts = Vec::new();
     let mut open = vec![true; work.len()];
-    let mut held: Option<Held> = None;
+    let old = |(_, w): &(usize, &Work)| w.pending > 0 && now > w.accepted + Duration::from_secs(60);
+    let admitted = |(_, w): &(usize, &Work)| teams[w.team].admits(&w.each);
+    let aged = work.iter().enumerate().filter(old).filter(admitted);
+    let mut held = aged.min_by_key(|(_, w)| w.accepted).and_then(|(i, w)| {
+        let all = slots.iter().enumerate().filter(|(_, s)| suits(s, w));
+        let (at, slot) = all.filter_map(|(i, s)| opens(s, &w.each, now).map(|at| (at, i))).min()?;
+        let young = now <= w.accepted + Duration::from_secs(150);
+        Some(Held { slot, at, each: w.each, breakable: young.then_some(w.urgency), owner: Some(i) })
+    });
     while let Some(i) = next(work, teams, &open) {
         for _ in 0..TURN {
             if work[i].pending == 0 {
@@ -82,24 +92,39 @@
                 open[i] = false;
                 break;
             }
-            let mut best: Option<(Duration, f64, usize)> = None;
-            for (s, slot) in slots.iter().enumerate() {
-                let room = slot.ready <= now && work[i].each.fits(&slot.free);
-                if !room || !suits(slot, &work[i]) || !spares(slot, s, &work[i], now, held.as_ref()) {
-                    continue;
+            let find = |held: Option<&Held>| {
+                let mut best: Option<(Duration, f64, usize)> = None;
+                for (s, slot) in slots.iter().enumerate() {
+                    let room = slot.ready <= now && work[i].each.fits(&slot.free);
+                    if !room || !suits(slot, &work[i]) || !spares(slot, s, &work[i], now, held) {
+                        continue;
+                    }
+                    let score = (fetch(slot, &work[i]), slot.free.cpus, s);
+                    if best.is_none_or(|b| score.partial_cmp(&b).unwrap().is_lt()) {
+                        best = Some(score);
+                    }
                 }
-                let score = (fetch(slot, &work[i]), slot.free.cpus, s);
-                if best.is_none_or(|b| score.partial_cmp(&b).unwrap().is_lt()) {
-                    best = Some(score);
-                }
-            }
+                best
+            };
+            let binding = held.as_ref().filter(|h| h.owner != Some(i));
+            let may_break = binding.and_then(|h| h.breakable).is_some_and(|u| work[i].urgency > u);
+            let best = match find(binding) {
+                None if may_break => find(None),
+                best => best,
+            };
             let all = || slots.iter().enumerate().filter(|(_, s)| suits(s, &work[i]));
             let opening = |(s, slot): (usize, &Slot)| opens(slot, &work[i].each, now).map(|at| (at, s));
             let Some((cold, _, s)) = best else {
                 open[i] = false;
                 if held.is_none() {
                     let first = all().filter_map(opening).min();
-                    held = first.map(|(at, slot)| Held { slot, at, each: work[i].each });
+                    held = first.map(|(at, slot)| Held {
+                        slot,
+                        at,
+                        each: work[i].each,
+                        breakable: None,
+                        owner: None,
+                    });
                 }
                 break;
             };
--- a/crates/plankhead-core/tests/scheduling.rs
+++ b/crates/plankhead-core/tests/scheduling.rs
@@ -120,6 +120,7 @@
         w.guaranteed = rng.random_range(0..2) == 0;
         w.urgency = if rng.random_range(0..3) == 0 { Urgency::Urgent } else { Urgency::Standard };
         w.due = NOW + secs(rng.random_range(0..3));
+        w.accepted = NOW - secs(rng.random_range(0..200));
         w.one_zone = i % 4 == 1;
         w.pools = (0..6).map(|p| ![0, 3, 6].contains(&i) || p % 2 == 1).collect();
         w.zone_most = if i % 4 == 2 { w.pending.div_ceil(2) } else { u32::MAX };
