--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -68,7 +68,7 @@
         adrift: 1,
         apart: 2,
         errors: 0.1,
-        lying_cloud: false,
+        ..Troubles::default()
     };
     play(0..40, troubles);
 }
@@ -119,22 +119,35 @@
     }
 }
 
-/// The model catches a rule that is broken on purpose: here the evidence itself
-/// is false, since the cloud confirms releases that it does not carry out.
-#[test]
-fn a_lying_cloud_is_caught() {
-    let troubles = Troubles { hangs: 10, cuts: 6, lying_cloud: true, ..Troubles::default() };
-    let broken = (0..40).filter_map(|seed| {
-        let history = std::panic::catch_unwind(|| {
+/// The rules that histories under these troubles break.
+fn broken(troubles: Troubles) -> Vec<String> {
+    let history = |seed| {
+        let play = || {
             let mut world = World::new(seed, troubles);
             world.plan(40, secs(90));
             world.run(secs(400));
-        });
-        history.err().and_then(|why| why.downcast_ref::<String>().cloned())
-    });
-    let rules: Vec<String> = broken.collect();
-    for rule in ["ran_twice", "quota"] {
-        assert!(rules.iter().any(|r| r.starts_with(rule)), "{rule} is not among {rules:?}");
+        };
+        let why = std::panic::catch_unwind(play).err()?;
+        why.downcast_ref::<String>().cloned().or_else(|| why.downcast_ref::<&str>().map(|s| s.to_string()))
+    };
+    (0..40).filter_map(history).collect()
+}
+
+/// The model catches rules that are broken on purpose. Here the evidence itself
+/// is false: a cloud confirms releases that it does not carry out, copies tell of
+/// shifts that have not begun, or answers reach nobody.
+#[test]
+fn false_evidence_is_caught() {
+    let cloud = Troubles { hangs: 10, cuts: 6, lying_cloud: true, ..Troubles::default() };
+    let copies = Troubles { copies: 0.2, lying_copies: true, ..Troubles::default() };
+    let mute = Troubles { mute: true, ..Troubles::default() };
+    for (troubles, rules) in
+        [(cloud, vec!["ran_twice", "quota"]), (copies, vec!["ran_twice"]), (mute, vec!["forgotten"])]
+    {
+        let found = broken(troubles);
+        for rule in rules {
+            assert!(found.iter().any(|r| r.starts_with(rule)), "{rule} is not among {found:?}");
+        }
     }
 }
 
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -58,6 +58,10 @@
     pub errors: f64,
     /// A cloud that lies: confirmed releases leave the machine running.
     pub lying_cloud: bool,
+    /// Late copies that lie: they tell of a shift that has not begun.
+    pub lying_copies: bool,
+    /// Nobody hears the answers to questions about the first job.
+    pub mute: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -595,7 +599,8 @@
                 self.alone[node] = until;
             }
             Happening::Part { node, until } => self.apart[node] = until,
-            Happening::Copy { report } => {
+            Happening::Copy { mut report } => {
+                report.shift += u64::from(self.troubles.lying_copies);
                 let node = self.rng.random_range(0..3);
                 if let Some((boot, _)) = &self.nodes[node] {
                     let boot = *boot;
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -205,6 +205,7 @@
                 }
             }
             Asked::Submit(job) => self.submit_answered(job, answer),
+            Asked::Poll(0) if self.troubles.mute => self.at(secs(2), Happening::Poll { job: 0 }),
             Asked::Poll(job) => self.poll_answered(job, answer),
             Asked::Abort(job) => self.abort_answered(job, answer),
         }
