--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -247,6 +247,35 @@
     assert_eq!(fleet.judge(NOW + second * 60, second, lease), 4);
 }
 
+/// A machine whose reports arrive while it hears nothing looked alive as its lease
+/// ran out again and again, and tasks were placed on it.
+#[test]
+fn deaf_machines_go_back() {
+    let second = Duration::from_secs(1);
+    let heard = |shift, answered: u64| {
+        let mut fleet = Fleet::default();
+        fleet.observe(&report(3, 1, &[]), 0, NOW);
+        fleet.machines.get_mut("i-1").unwrap().answered = Some(NOW + second * answered as u32);
+        fleet.observe(&report(shift, 2, &[]), 0, NOW + second * 11);
+        fleet.machines["i-1"].leaving
+    };
+    assert_eq!(heard(4, 9), Some(Leaving::Deaf));
+    assert_eq!(heard(4, 0), None, "it was silent, or hung");
+    assert_eq!(heard(3, 9), None);
+    // Three answers in a row asked for a task that the reports do not show.
+    let asked = |shown: &[(u32, u64, Seen)]| {
+        let mut fleet = Fleet::default();
+        for tick in 1..=5 {
+            fleet.observe(&report(3, tick, shown), 0, NOW);
+            let machine = fleet.machines.get_mut("i-1").unwrap();
+            machine.asked = vec![(TaskId { job: id(), index: 0 }, 1, true)];
+        }
+        fleet.machines["i-1"].leaving
+    };
+    assert_eq!(asked(&[]), Some(Leaving::Deaf));
+    assert_eq!(asked(&[(0, 1, Seen::Pulling)]), None);
+}
+
 /// Only when every pool has refused is the type's size known.
 #[test]
 fn refusals_teach_capacity() {
--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -101,9 +101,23 @@
     assert!(relayed > 50, "{relayed} reports");
 }
 
+/// A former leader that has lost the state service, with or without its siblings,
+/// held its workers until a cancellation could have come: 23 s.
 #[test]
 fn nodes_lose_all_but_their_workers() {
     play(0..25, Troubles { adrift: 4, crashes: 1, lost: 0.01, ..Troubles::default() });
+    let alone = Troubles { adrift: 3, ..Troubles::default() };
+    let refused = Troubles { refusals: 4, ..Troubles::default() };
+    for (troubles, most) in [(alone, 6), (refused, 3)] {
+        let mut longest = Duration::ZERO;
+        for seed in 0..25 {
+            let mut world = World::new(seed, troubles);
+            world.plan(24, secs(90));
+            world.run(secs(1500));
+            longest = longest.max(world.held);
+        }
+        assert!(longest > Duration::ZERO && longest < secs(most), "held for {longest:?}");
+    }
 }
 
 /// A leader that lost the network took every machine for silent, and its
--- a/crates/plankhead-core/tests/world/kv.rs
+++ b/crates/plankhead-core/tests/world/kv.rs
@@ -25,6 +25,11 @@
         self.epoch
     }
 
+    /// The stamp of a key, if it is there.
+    pub fn stamp(&self, key: &str) -> Option<u64> {
+        self.keys.get(key).map(|v| v.stamp)
+    }
+
     pub fn apply(&mut self, now: Duration, op: StateOp) -> Result<StateReply, CallError> {
         Ok(match op {
             StateOp::Get { key } => StateReply::Got(self.keys.get(&key).map(|v| Row {
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -244,6 +244,10 @@
     alone: Vec<Duration>,
     /// Until when a node and half of the machines can't reach each other.
     apart: Vec<Duration>,
+    /// The latest leader's token, and since when it leads.
+    led: (u64, Duration),
+    /// The longest time after which a former leader was still heeded.
+    pub held: Duration,
     /// Reports that reached their leader through another node.
     pub relayed: usize,
     /// When the last trouble is over.
@@ -305,6 +309,8 @@
             node_cut: vec![Duration::ZERO; 3],
             alone: vec![Duration::ZERO; 3],
             apart: vec![Duration::ZERO; 3],
+            led: (0, Duration::ZERO),
+            held: Duration::ZERO,
             relayed: 0,
             calm: EPOCH,
             killed_by_release: 0,
@@ -611,6 +617,10 @@
             }
         }
         self.expire();
+        match self.kv.stamp("lead") {
+            Some(baton) if baton > self.led.0 => self.led = (baton, self.now),
+            _ => {}
+        }
         self.check();
     }
 
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -246,6 +246,9 @@
         worker.waiting = None;
         let pause = match answer {
             Answer::Beat { baton, orders } => {
+                if baton < self.led.0 && baton >= worker.token {
+                    self.held = self.held.max(now.saturating_sub(self.led.1));
+                }
                 worker.expire(now);
                 if worker.shift == shift && baton >= worker.token {
                     worker.token = baton;
