Urgent arrays stop lesser tasks for all that find no room in time

Cause: lesser tasks were stopped only if no machine at all opened by the time an urgent task should start. With hundreds of machines one nearly always does, so that an array of 80 tasks waited until its time had passed.

Ruled out: takeovers (the waits lay between them as well).

--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -110,9 +110,18 @@
         Some(at).filter(|at| *at < until)
     }
 
-    /// Whether the task would find room by then.
-    pub fn opens_by(&self, each: &Resources, now: Duration, due: Duration) -> bool {
-        self.opens(each, now, due + Duration::from_nanos(1)).is_some()
+    /// How many such tasks, `most` at the most, will find room by then.
+    pub fn holds_by(&self, each: &Resources, due: Duration, most: u32) -> u32 {
+        if self.ready > due {
+            return 0;
+        }
+        let mut free = self.free_at(due);
+        let mut count = 0;
+        while count < most && each.fits(&free) {
+            free.sub(each);
+            count += 1;
+        }
+        count
     }
 
     fn fetch(&self, work: &Work) -> Duration {
--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -253,11 +253,19 @@
         teams: &mut [TeamRoom],
         out: &mut Out,
     ) {
+        // As many tasks of a job as find no room in time.
         let late = |w: &Work| {
-            let opens = |s: &Slot| w.allows(s.pool) && s.opens_by(&w.each, now, w.due.max(now));
-            w.pending > 0 && w.urgency >= Urgency::Urgent && !slots.iter().any(opens)
+            let mut left = if w.urgency >= Urgency::Urgent { w.pending } else { 0 };
+            for slot in slots.iter().filter(|s| w.allows(s.pool)) {
+                if left == 0 {
+                    break;
+                }
+                left -= slot.holds_by(&w.each, w.due.max(now), left);
+            }
+            left
         };
-        let mut order: Vec<usize> = (0..work.len()).filter(|i| late(&work[*i])).collect();
+        let late: Vec<u32> = work.iter().map(late).collect();
+        let mut order: Vec<usize> = (0..work.len()).filter(|i| late[*i] > 0).collect();
         if order.is_empty() {
             return;
         }
@@ -274,7 +282,8 @@
         let mut stops = 0;
         for i in order {
             let (each, urgency) = (work[i].each, work[i].urgency);
-            while work[i].pending > 0 && teams[work[i].team].admits(&each) && stops < MOST_STOPS {
+            let mut left = late[i];
+            while left > 0 && teams[work[i].team].admits(&each) && stops < MOST_STOPS {
                 let fit = |(place, slot): (usize, &Slot)| {
                     let suits = work[i].allows(slot.pool) && work[i].zone_admits(slot.zone);
                     let found = suits.then(|| lesser[place].victims(&each, urgency)).flatten();
@@ -291,7 +300,7 @@
                 here.room.sub(&each);
                 teams[work[i].team].used.add(&each);
                 work[i].joined(slots[place].zone);
-                work[i].pending -= 1;
+                left -= 1;
             }
         }
         for host in told {
