--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -64,7 +64,7 @@
 /// Tasks stopped for others in one pass at most.
 const MOST_STOPS: usize = 64;
 /// Time between looks for tasks to stop.
-const PREEMPT_PAUSE: Duration = Duration::from_millis(500);
+const PREEMPT_PAUSE: Duration = Duration::from_millis(200);
 /// Time between passes: what changes meanwhile shares one.
 const PASS_PAUSE: Duration = Duration::from_millis(50);
 /// How much longer a pass waits for earlier placements to be written.
