--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -155,6 +155,8 @@
     /// How many of these, at the front, should go soon.
     pressing: usize,
     sweeping: bool,
+    /// It has sent its first starts.
+    started: bool,
     /// Something changed that may let tasks start.
     dirty: bool,
     pass_due: Duration,
@@ -217,6 +219,7 @@
             garbage: Vec::new(),
             pressing: 0,
             sweeping: false,
+            started: false,
             dirty: true,
             pass_due: now,
             preempt_due: now,
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -291,6 +291,10 @@
             }
             orders.push(Order::Run { task: task.clone(), attempt: *attempt });
         }
+        if !runs.is_empty() && !std::mem::replace(&mut self.started, true) {
+            let after = now.saturating_sub(self.began).as_millis();
+            out.log(Level::Info, format!("first starts {after} ms after it leads"));
+        }
         let Some(machine) = self.fleet.machines.get_mut(host) else { return };
         machine.busy = true;
         machine.haunted.extend(runs.iter().map(|(t, n)| (t.clone(), *n, shift)));
