--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -20,6 +20,9 @@
 const DEAF: Duration = Duration::from_millis(4500);
 /// Reports in a row that may show nothing of what they were told.
 const MOST_UNHEEDED: u32 = 3;
+/// A worker that got no answer needs 4 s to notice and a second to ask another
+/// node, which sends it here; silent for longer and a report, it is lost.
+const SILENT: Duration = Duration::from_millis(5500);
 /// Errors in a row after which a machine is retired.
 const MOST_ERRORS: u32 = 3;
 
@@ -76,6 +79,8 @@
     pub heard: Duration,
     /// When it last reached this node itself.
     pub direct: Duration,
+    /// Its last report came through a sibling.
+    pub relayed: bool,
     pub notice: bool,
     pub listed: bool,
     /// It was up once, by the list or by the attempts placed on it, even if
@@ -166,6 +171,7 @@
             report: None,
             heard: now,
             direct: now,
+            relayed: false,
             notice: false,
             listed: false,
             was_up: false,
@@ -337,7 +343,10 @@
             machine.since = since;
             machine.pool = Pool { rig: host.rig.clone(), zone: host.zone.clone(), spot: host.spot };
             machine.listed = true;
-            machine.was_up |= host.status == HostStatus::Running;
+            // From now on its silence counts.
+            if host.status == HostStatus::Running && !std::mem::replace(&mut machine.was_up, true) {
+                machine.heard = machine.heard.max(now);
+            }
             machine.unlisted = 0;
             if machine.address.is_empty() {
                 machine.address = host.address.clone();
@@ -362,21 +371,23 @@
     }
 
     /// Marks machines that must go: silent ones, ones that never came up, ones
-    /// that fail everything. `silent` is the longest accepted silence.
+    /// that fail everything.
     ///
     /// A zone that falls silent at once is cut off rather than broken: its
     /// machines may be heard through a sibling soon. They are given until their
     /// leases have run out and half of what others would need to boot.
-    pub fn judge(&mut self, now: Duration, silent: Duration, lease: Duration) -> usize {
+    pub fn judge(&mut self, now: Duration, report: Duration, lease: Duration) -> usize {
         let mut judged = 0;
         let mut zones: HashMap<String, (u32, u32)> = HashMap::new();
+        // A report may be a quarter late.
+        let missed = report.mul_f64(1.25) + Duration::from_millis(500);
         let was_up = |m: &&Machine| m.leaving.is_none() && (m.proven || m.was_up);
         for machine in self.machines.values().filter(was_up) {
             let (quiet, all) = zones.entry(machine.pool.zone.clone()).or_default();
-            *quiet += u32::from(now.saturating_sub(machine.direct) > silent / 2);
+            *quiet += u32::from(now.saturating_sub(machine.direct) > missed);
             *all += 1;
         }
-        let short = silent;
+        let short = report + SILENT;
         for machine in self.machines.values_mut().filter(|m| m.leaving.is_none()) {
             let (silent_here, all) = zones.get(&machine.pool.zone).copied().unwrap_or_default();
             let boot = self.rigs.get(&machine.pool.rig).map_or(Duration::from_secs(60), |r| r.boot);
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -90,13 +90,12 @@
     }
 
     fn mind_machines(&mut self, now: Duration, firm: bool) {
-        let silent = self.settings.report + SILENT;
         let contact = self.in_contact(now);
         if firm && contact {
             if !std::mem::replace(&mut self.sound, true) {
                 self.fleet.forgive(now);
             }
-            self.dirty |= self.fleet.judge(now, silent, self.settings.lease) > 0;
+            self.dirty |= self.fleet.judge(now, self.settings.report, self.settings.lease) > 0;
         } else {
             // A leader that is cut off hears nobody, and its requests to the
             // cloud may be carried out when the cut ends: it would give back
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -59,9 +59,6 @@
 const STUCK: Duration = Duration::from_secs(120);
 /// A machine without work goes back after this time at the earliest.
 const IDLE: Duration = Duration::from_secs(3);
-/// A worker that got no answer needs 4 s to notice and a second to ask another
-/// node, which sends it here; silent for longer and a report, it is lost.
-const SILENT: Duration = Duration::from_millis(5500);
 /// How long a stopped task takes to be gone, usually.
 const STOPPING: Duration = Duration::from_millis(300);
 /// Tasks stopped for others in one pass at most.
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -40,6 +40,7 @@
             // A copy gets no orders, nor counts as heard.
             return Answer::Beat { baton: self.baton, orders: Vec::new() };
         };
+        machine.relayed = relayed;
         if !relayed {
             machine.direct = now;
         }
@@ -256,6 +257,11 @@
         if machine.busy || machine.address.is_empty() || machine.leaving.is_some() {
             return;
         }
+        // Who reaches us only through a sibling is not reached by us either: a
+        // command might be held and carried out long after.
+        if machine.relayed {
+            return;
+        }
         let told = |t: &TaskId| self.ledger.attempt(t).is_some_and(|a| a.told);
         let runs: Vec<(TaskId, u64)> = self.runs(now, machine).filter(|(t, _)| !told(t)).collect();
         let kills: Vec<(TaskId, u64)> = self
--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -65,6 +65,7 @@
         deaf: 2,
         copies: 0.02,
         adrift: 1,
+        apart: 2,
         errors: 0.1,
         lying_cloud: false,
     };
@@ -83,6 +84,22 @@
     play(0..25, Troubles { deaf: 5, crashes: 2, ..Troubles::default() });
 }
 
+/// Workers that can't reach the leader are heard through another node: none of
+/// their leases runs out, nor is any of their machines returned.
+#[test]
+fn workers_reach_a_leader_through_another_node() {
+    let mut relayed = 0;
+    for seed in 0..25 {
+        let mut world = World::new(seed, Troubles { apart: 1, ..Troubles::default() });
+        world.plan(24, secs(90));
+        world.run(secs(1500));
+        assert!(world.settled(), "seed {seed}");
+        assert_eq!(world.killed_by_release, 0, "seed {seed}");
+        relayed += world.relayed;
+    }
+    assert!(relayed > 50, "{relayed} reports");
+}
+
 #[test]
 fn nodes_lose_all_but_their_workers() {
     play(0..25, Troubles { adrift: 4, crashes: 1, lost: 0.01, ..Troubles::default() });
