New leaders hire and size once the list is read; late machines are asked directly

Times that stood for report_s follow it: a worker that reports every 5 s was taken for silent after 10.5 s, while one lost answer takes 11.75 s. A machine whose report is late is asked directly and lost after two failures. Ruled out: boots, capacity, wrong estimates (the round's trace shows 83:1.00).

--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::job::Resources;
 use crate::places::Places;
 use crate::protocol::{HostName, HostStatus, ListedHost, Report, Rig, Seen, TaskId};
+use crate::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,15 +15,16 @@
 const LESSON: Duration = Duration::from_secs(150);
 /// A machine is given this many times its usual boot time.
 const BOOT_PATIENCE: f64 = 2.6;
-/// Names of machines that are gone are remembered up to this number.
-const MOST_GONE: usize = 4_096;
+/// Names of machines that are gone are remembered up to this number: a fleet of
+/// two thousand that loses some to the spot market for hours.
+const MOST_GONE: usize = 16_384;
 /// A lease that runs out this soon after an answer was not renewed by it.
 const DEAF: Duration = Duration::from_millis(4500);
 /// Reports in a row that may show nothing of what they were told.
 const MOST_UNHEEDED: u32 = 3;
-/// A worker that got no answer needs 4 s to notice and a second to ask another
-/// node, which sends it here; silent for longer and a report, it is lost.
-const SILENT: Duration = Duration::from_millis(5500);
+/// Commands in a row without an answer after which a machine whose report is late
+/// is lost.
+const MOST_UNANSWERED: u32 = 2;
 /// Errors in a row after which a machine is retired.
 const MOST_ERRORS: u32 = 3;
 
@@ -109,6 +111,8 @@
     pub sent_off: Option<Duration>,
     /// A direct command is on its way.
     pub busy: bool,
+    /// Direct commands in a row that got no answer.
+    pub unanswered: u32,
     /// Direct `run` commands that may still be carried out, with their shift.
     pub haunted: Vec<(TaskId, u64, u64)>,
     /// When it was last without any task.
@@ -187,6 +191,7 @@
             unheeded: 0,
             sent_off: None,
             busy: false,
+            unanswered: 0,
             haunted: Vec::new(),
             idle_since: None,
         })
@@ -241,6 +246,7 @@
             }
         }
         machine.asked.clear();
+        machine.unanswered = 0;
         machine.proven |= report.baton == own;
         // What carries another token may be a late copy: no sign of life.
         if machine.proven || first {
@@ -266,6 +272,7 @@
     pub fn answered(&mut self, report: &Report, own: u64, now: Duration) -> Heard {
         if let Some(machine) = self.machines.get_mut(&report.host) {
             machine.proven = true;
+            machine.unanswered = 0;
             // The answer to its last report may still be under way.
             machine.asked.clear();
         }
@@ -376,30 +383,33 @@
     /// A zone that falls silent at once is cut off rather than broken: its
     /// machines may be heard through a sibling soon. They are given until their
     /// leases have run out and half of what others would need to boot.
-    pub fn judge(&mut self, now: Duration, report: Duration, lease: Duration) -> usize {
+    ///
+    /// A machine whose report is late was asked directly: without an answer to
+    /// that it is lost, long before a lost answer to a report would excuse it.
+    pub fn judge(&mut self, now: Duration, settings: &Settings) -> usize {
         let mut judged = 0;
         let mut zones: HashMap<String, (u32, u32)> = HashMap::new();
-        // A report may be a quarter late.
-        let missed = report.mul_f64(1.25) + Duration::from_millis(500);
+        let (missed, lease) = (settings.gap(), settings.lease);
         let was_up = |m: &&Machine| m.leaving.is_none() && (m.proven || m.was_up);
         for machine in self.machines.values().filter(was_up) {
             let (quiet, all) = zones.entry(machine.pool.zone.clone()).or_default();
             *quiet += u32::from(now.saturating_sub(machine.direct) > missed);
             *all += 1;
         }
-        let short = report + SILENT;
+        let short = settings.silence();
         for machine in self.machines.values_mut().filter(|m| m.leaving.is_none()) {
             let (silent_here, all) = zones.get(&machine.pool.zone).copied().unwrap_or_default();
             let boot = self.rigs.get(&machine.pool.rig).map_or(Duration::from_secs(60), |r| r.boot);
             let cut = silent_here > 2 && silent_here * 2 > all;
             let silent = if cut { short.max(lease + boot / 2) } else { short };
             let quiet = now.saturating_sub(machine.heard);
+            let mute = !cut && quiet > missed && machine.unanswered >= MOST_UNANSWERED;
             // A machine that was taken before a new leader came never reports to
             // it: only silence tells, not the patience for a boot.
             let reason = if machine.newest.is_none() && !machine.was_up {
                 let patience = boot.mul_f64(BOOT_PATIENCE);
                 (now.saturating_sub(machine.since) > patience && quiet > silent).then_some(Leaving::NeverUp)
-            } else if quiet > silent {
+            } else if quiet > silent || mute {
                 Some(Leaving::Silent)
             } else if machine.unlisted >= 2 && quiet > silent / 2 {
                 Some(Leaving::Unlisted)
@@ -416,6 +426,16 @@
         judged
     }
 
+    /// Machines whose report is late and that nothing was asked of yet, in zones
+    /// that are not cut off as a whole.
+    pub fn late(&self, now: Duration, gap: Duration) -> Vec<HostName> {
+        let asks = |m: &&Machine| {
+            m.up() && !m.busy && !m.relayed && m.unanswered < MOST_UNANSWERED && !m.address.is_empty()
+        };
+        let late = |m: &&Machine| now.saturating_sub(m.heard) > gap;
+        self.machines.values().filter(asks).filter(late).map(|m| m.name.clone()).collect()
+    }
+
     /// The cloud confirmed the release.
     pub fn released(&mut self, name: &HostName) {
         self.machines.remove(name);
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -2,8 +2,10 @@
 
 use super::*;
 
-/// A new leader has heard every worker that it can reach after this time.
-const FIRST_REPORTS: Duration = Duration::from_millis(4500);
+/// Machines asked at a time why their reports are late.
+const MOST_INQUIRIES: usize = 64;
+/// What a release takes at the most, usually.
+const RELEASE: Duration = Duration::from_secs(3);
 
 impl Leader {
     pub fn tick(&mut self, times: Times, firm: bool, desk: &mut Desk, out: &mut Out) {
@@ -40,7 +42,9 @@
             self.pass_due = now + PASS_PAUSE;
             self.schedule(now, out);
         }
-        if sighted {
+        // A new leader that had not seen the machines yet took the fleet for none: it
+        // hired all anew, and its round gave back what then turned up.
+        if sighted && self.surveyed {
             self.size(times, out);
         }
         if firm {
@@ -52,8 +56,8 @@
             return;
         }
         self.minded = now + MIND;
-        self.mind_machines(now, firm);
-        if sighted {
+        self.mind_machines(now, firm, out);
+        if sighted && self.surveyed {
             self.hire(now, out);
         }
         if firm {
@@ -75,7 +79,7 @@
 
     /// Whether some worker was heard lately, or none could be.
     pub(super) fn in_contact(&self, now: Duration) -> bool {
-        let recent = self.settings.report * 2 + Duration::from_secs(1);
+        let recent = self.settings.gap() * 2;
         let mut up = self.fleet.machines.values().filter(|m| m.up()).peekable();
         up.peek().is_none() || up.any(|m| now.saturating_sub(m.heard) < recent)
     }
@@ -83,19 +87,20 @@
     /// Whether no worker at all has reached this node for so long that another
     /// should try to lead.
     pub fn isolated(&self, now: Duration) -> bool {
-        let patience = self.settings.report * 3 + Duration::from_secs(2);
+        let patience = self.settings.gap() + Duration::from_secs(3);
         self.stage == Stage::Ready
             && now.saturating_sub(self.contact) > patience
             && self.fleet.machines.values().filter(|m| m.up()).count() > 1
     }
 
-    fn mind_machines(&mut self, now: Duration, firm: bool) {
+    fn mind_machines(&mut self, now: Duration, firm: bool, out: &mut Out) {
         let contact = self.in_contact(now);
         if firm && contact {
             if !std::mem::replace(&mut self.sound, true) {
                 self.fleet.forgive(now);
             }
-            self.dirty |= self.fleet.judge(now, self.settings.report, self.settings.lease) > 0;
+            self.dirty |= self.fleet.judge(now, &self.settings) > 0;
+            self.inquire(now, out);
         } else {
             // A leader that is cut off hears nobody, and its requests to the
             // cloud may be carried out when the cut ends: it would give back
@@ -106,18 +111,23 @@
             return;
         }
         // A cancelled task that is not proven gone takes its machine along.
-        let margin = self.settings.clock_off * 2 + Duration::from_secs(7);
-        let grace = self.settings.cancel.saturating_sub(margin);
+        let s = &self.settings;
+        let due = s.cancel.saturating_sub(s.clock_off * 2);
+        let grace = due.saturating_sub(Duration::from_secs(7));
+        let heard = now.saturating_sub(self.began) > s.silence();
         let overdue: Vec<HostName> = self
             .ledger
             .jobs
             .values()
             .filter(|e| e.placed > 0 && e.cancelled.is_some_and(|at| now.saturating_sub(at) >= grace))
-            .flat_map(|e| self.ledger.placements(e))
+            .flat_map(|e| self.ledger.placements(e).map(|a| (e.cancelled.unwrap_or_default(), a)))
             // What an earlier leader placed may have ended under it, which the
-            // first reports to us show.
-            .filter(|a| a.seen.is_some() || a.offered || now.saturating_sub(self.began) > FIRST_REPORTS)
-            .map(|a| a.host.clone())
+            // first reports to us show, if the time left allows to wait for them.
+            .filter(|(at, a)| {
+                let last = *at + due.saturating_sub(RELEASE);
+                a.seen.is_some() || a.offered || heard || (self.began < last && now >= last)
+            })
+            .map(|(_, a)| a.host.clone())
             .collect();
         for host in overdue {
             self.fleet.expect(&host, now);
@@ -126,4 +136,23 @@
             }
         }
     }
+
+    /// Asks machines whose reports are late directly whether they are there.
+    fn inquire(&mut self, now: Duration, out: &mut Out) {
+        let asked = self.fleet.machines.values().filter(|m| m.busy).count();
+        let late = self.fleet.late(now, self.settings.gap());
+        for host in late.into_iter().take(MOST_INQUIRIES.saturating_sub(asked)) {
+            let Some(machine) = self.fleet.machines.get_mut(&host) else { continue };
+            let Some(shift) = machine.shift() else { continue };
+            machine.busy = true;
+            let deed = Deed::Orders { host, shift, runs: Vec::new() };
+            out.orders(
+                Purpose::Leader(self.baton, deed),
+                machine.address.clone(),
+                self.baton,
+                shift,
+                Vec::new(),
+            );
+        }
+    }
 }
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -179,6 +179,8 @@
     hosts_due: Duration,
     listing: bool,
     list: Vec<ListedHost>,
+    /// The whole machine list was read once: what is held is known.
+    surveyed: bool,
     places: Places,
     /// Each team's place among the teams.
     team_places: HashMap<String, usize>,
@@ -239,6 +241,7 @@
             hosts_due: now,
             listing: false,
             list: Vec::new(),
+            surveyed: false,
             places: Places::default(),
             team_places: settings.teams.keys().cloned().zip(0..).collect(),
             ratios: HashMap::new(),
--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -207,7 +207,7 @@
             slot.overdue(now);
             slot.ready = if !machine.proven {
                 (machine.since + rig.boot).max(now + Duration::from_secs(3))
-            } else if now.saturating_sub(machine.heard) > self.settings.report * 3 {
+            } else if now.saturating_sub(machine.heard) > self.settings.gap() || machine.unanswered > 0 {
                 now + self.settings.report
             } else {
                 now.max(machine.full_until)
@@ -224,7 +224,9 @@
         if work.is_empty() {
             return;
         }
-        self.raise(&work);
+        if self.surveyed {
+            self.raise(&work);
+        }
         let (hosts, mut slots): (Vec<HostName>, Vec<Slot>) = self.slots(now).into_iter().unzip();
         let starts = easy::pass(now, &mut slots, &mut work, &mut teams);
         for start in starts.into_iter().filter(|s| s.at <= now) {
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -146,6 +146,7 @@
                 } else {
                     let list = std::mem::take(&mut self.list);
                     self.fleet.listed(&list, now);
+                    self.surveyed = true;
                 }
             }
             (Deed::Hosts, _) => {
@@ -190,6 +191,9 @@
         let Deed::Orders { host, shift, runs } = deed else { return };
         let Some(machine) = self.fleet.machines.get_mut(&host) else { return };
         machine.busy = false;
+        if !matches!(reply, OrdersReply::Answered(_)) {
+            machine.unanswered += 1;
+        }
         if !matches!(reply, OrdersReply::Unanswered) {
             machine.haunted.retain(|(t, n, s)| *s != shift || !runs.contains(&(t.clone(), *n)));
         }
--- a/crates/plankhead-core/src/settings.rs
+++ b/crates/plankhead-core/src/settings.rs
@@ -59,3 +59,21 @@
     pub clock_off: Duration,
     pub sizing: Sizing,
 }
+
+/// What a worker that got no answer needs until it is heard again: 4 s to notice,
+/// a second to ask another node, and half a second to come where that sends it.
+const DETOUR: Duration = Duration::from_millis(5500);
+
+impl Settings {
+    /// The longest time between two reports that are answered: one may be a
+    /// quarter late, and a while under way.
+    pub fn gap(&self) -> Duration {
+        self.report.mul_f64(1.25) + Duration::from_millis(500)
+    }
+
+    /// A worker that is there is heard within this time, also if one report of
+    /// its got no answer.
+    pub fn silence(&self) -> Duration {
+        self.gap() + DETOUR
+    }
+}
