Cheapest machines first, dearest for tasks that must not be lost; rounds by boots

Cause: on tartu 450 of 1,200 machines are ordinary at 2.8 times the price and the fullest machine was taken whatever it cost; half of the run-ledger arrays lose a task with a spot machine, and a task whose estimate fits only once into its time was late then. Rounds came every 50 s where machines boot in 20 s: a burst of 40 s passed between two of them. Now: of machines with the image the cheapest, then the fullest; tasks without time for a second run take the dearest; rounds every 1.5 boots (30 s and 52 s) unless set.

--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -14,6 +14,8 @@
 pub struct Slot {
     pub pool: usize,
     pub zone: usize,
+    /// What the machine costs, by the last price list.
+    pub price: f64,
     pub free: Resources,
     /// From when on it takes tasks.
     pub ready: Duration,
@@ -163,8 +165,9 @@
     held.each.fits(&left)
 }
 
-/// The best machine for one task now: the image is there, or comes soonest;
-/// then the fullest, so that others can go back. `room` names the machines that
+/// The best machine for one task now: the image is there, or comes soonest; then
+/// the cheapest, or the dearest for a task that must not be lost; then the
+/// fullest, so that others can go back. `room` names the machines that
 /// may have some.
 fn choose(
     slots: &[Slot],
@@ -173,14 +176,14 @@
     now: Duration,
     held: Option<&Reservation>,
 ) -> Option<usize> {
-    let mut best: Option<(usize, (Duration, f64))> = None;
+    let mut best: Option<(usize, (Duration, f64, f64))> = None;
     for i in room {
         let slot = &slots[*i];
         if !work.each.fits(&slot.free) || !suits(slot, work) || !spares(slot, *i, work, now, held) {
             continue;
         }
-        let score = (slot.fetch(work), slot.free.cpus);
-        if best.as_ref().is_none_or(|(_, b)| score.0 < b.0 || (score.0 == b.0 && score.1 < b.1)) {
+        let score = (slot.fetch(work), work.cost(slot.price, now), slot.free.cpus);
+        if best.as_ref().is_none_or(|(_, b)| score < *b) {
             best = Some((*i, score));
         }
     }
--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -11,14 +11,26 @@
     /// When a job should start at the latest, by its deadline and by what its
     /// class expects.
     pub(super) fn due(&self, spec: &JobSpec, accepted: Duration) -> Duration {
-        let estimate = self.estimate(spec);
         let expected = self.settings.expectations.get(&spec.class).copied().unwrap_or_default();
-        let done_by = |within: Duration| (accepted + within).saturating_sub(estimate);
-        let deadline = spec.due.map(|d| done_by(Duration::from_secs_f64(d.min(1e7))));
-        let finished = expected.finished.map(done_by);
+        let done =
+            self.done_within(spec).map(|within| (accepted + within).saturating_sub(self.estimate(spec)));
         let wait = expected.wait.map(|within| accepted + within);
         let default = accepted + Duration::from_secs(600);
-        [deadline, finished, wait].into_iter().flatten().min().unwrap_or(default)
+        [done, wait].into_iter().flatten().min().unwrap_or(default)
+    }
+
+    /// Until when a task can start so that it may be lost with its machine, unseen,
+    /// and still be done in time.
+    fn again_by(&self, spec: &JobSpec, accepted: Duration) -> Duration {
+        let need = self.estimate(spec) * 2 + self.settings.silence();
+        self.done_within(spec).map_or(Duration::MAX, |within| (accepted + within).saturating_sub(need))
+    }
+
+    /// The time in which a job should be done, by its deadline and its class.
+    pub(super) fn done_within(&self, spec: &JobSpec) -> Option<Duration> {
+        let expected = self.settings.expectations.get(&spec.class).copied().unwrap_or_default();
+        let deadline = spec.due.map(|d| Duration::from_secs_f64(d.min(1e7)));
+        [deadline, expected.finished].into_iter().flatten().min()
     }
 
     pub(super) fn teams(&self) -> Vec<TeamRoom> {
@@ -55,6 +67,7 @@
             guaranteed: false,
             accepted,
             due: self.due(spec, accepted),
+            again_by: self.again_by(spec, accepted),
             each: spec.each,
             image: self.image(spec),
             image_gb: spec.image_gb,
@@ -83,7 +96,7 @@
 
     /// The jobs of the last interval, as if they came again in the next and on.
     pub(super) fn expected(&mut self, now: Duration) -> Vec<Arrival> {
-        let interval = self.settings.sizing.interval;
+        let interval = self.interval();
         let window = interval.min(now.saturating_sub(self.began).max(LEAST_WINDOW));
         let from = now.saturating_sub(window);
         self.arrivals.retain(|(at, _)| *at >= from);
@@ -134,6 +147,10 @@
         }
         if both.len() > MOST_WORK {
             both.sort_by_key(|(_, w)| (std::cmp::Reverse(w.urgency), !w.guaranteed, w.due));
+            // Whoever has waited longest has a machine kept, however much urgent
+            // work stands before it.
+            let oldest = (0..both.len()).min_by_key(|i| both[*i].1.accepted).unwrap_or(0);
+            both.swap(oldest.max(MOST_WORK - 1), MOST_WORK - 1);
             both.truncate(MOST_WORK);
         }
         both.into_iter().unzip()
@@ -147,6 +164,7 @@
         let mut slot = Slot {
             pool: self.places.pool(&machine.pool),
             zone: self.places.zone(&machine.pool.zone),
+            price: if machine.pool.spot { rig.spot_price } else { rig.price },
             free: total,
             ready: Duration::ZERO,
             running: Vec::new(),
--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -5,6 +5,10 @@
 /// Without a U of the operators, how far the fleet may grow under overload, as a
 /// multiple of what the guarantees would fill.
 const BORROWED: f64 = 1.5;
+/// Without an interval of the operators, rounds come as often as the slower of
+/// the usual boots allows, in boot times.
+const ROUND_BOOTS: f64 = 1.5;
+const LEAST_ROUND: Duration = Duration::from_secs(20);
 /// Machines in one release, by the protocol.
 const MOST_RELEASED: usize = 100;
 /// Passes that a round may take in one go.
@@ -94,6 +98,13 @@
         (bound(1.0), bound(BORROWED))
     }
 
+    /// The time between rounds: longer than a boot, so that each sees what the one
+    /// before brought.
+    pub(super) fn interval(&self) -> Duration {
+        let boot = self.fleet.rigs.values().map(|r| r.boot).max().unwrap_or_default();
+        self.settings.sizing.interval.unwrap_or(LEAST_ROUND.max(boot.mul_f64(ROUND_BOOTS)))
+    }
+
     /// Begins rounds, carries the one under way on by a portion, and ends it.
     pub(super) fn size(&mut self, times: Times, out: &mut Out) {
         let now = times.now;
@@ -142,7 +153,7 @@
         if now < self.round_due || (self.target.round == 0 && work.is_empty()) {
             return;
         }
-        self.round_due = now + self.settings.sizing.interval;
+        self.round_due = now + self.interval();
         // Nor does the rush of the first seconds tell what comes later.
         let expected = if cold { Vec::new() } else { self.expected(now) };
         let slots: Vec<Slot> = self.slots(now).into_iter().map(|(_, slot)| slot).collect();
@@ -197,6 +208,7 @@
             .map(|(pool, zone)| Slot {
                 pool,
                 zone,
+                price: kind.price,
                 free: total,
                 ready: now,
                 running: Vec::new(),
--- a/crates/plankhead-core/src/leader/takeover.rs
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -94,7 +94,7 @@
         }
         if let Some(target) = row.and_then(|r| serde_json::from_str::<Target>(&r.value).ok()) {
             let at = times.at_wall(target.at_ms);
-            self.round_due = (at + self.settings.sizing.interval).min(now + self.settings.sizing.interval);
+            self.round_due = (at + self.interval()).min(now + self.interval());
             self.target = target;
         }
         for machine in self.fleet.machines.values_mut() {
--- a/crates/plankhead-core/src/leader/view.rs
+++ b/crates/plankhead-core/src/leader/view.rs
@@ -18,9 +18,7 @@
 
     /// Past its deadline, or past what its class expects.
     pub(super) fn late(&self, entry: &Entry, now: Duration) -> bool {
-        let expected = self.settings.expectations.get(&entry.spec.class).copied().unwrap_or_default();
-        let deadline = entry.spec.due.map(|d| Duration::from_secs_f64(d.min(1e7)));
-        [deadline, expected.finished].into_iter().flatten().any(|within| now > entry.accepted + within)
+        self.done_within(&entry.spec).is_some_and(|within| now > entry.accepted + within)
     }
 
     pub(super) fn stuck(&self, entry: &Entry, now: Duration) -> bool {
--- a/crates/plankhead-core/src/queue.rs
+++ b/crates/plankhead-core/src/queue.rs
@@ -37,6 +37,8 @@
     pub accepted: Duration,
     /// When it should start or be done at the latest.
     pub due: Duration,
+    /// A task that starts by then may be lost and run again in time.
+    pub again_by: Duration,
     pub each: Resources,
     pub image: u32,
     pub image_gb: f64,
@@ -65,6 +67,16 @@
         here < self.zone_most
     }
 
+    /// A machine's price as this work sees it: cheap ones may be taken away, so that
+    /// a task without time for a second run takes the dearest.
+    pub fn cost(&self, price: f64, now: Duration) -> f64 {
+        if now > self.again_by {
+            -price
+        } else {
+            price
+        }
+    }
+
     pub fn joined(&mut self, zone: usize) {
         match self.zones.iter_mut().find(|(z, _)| *z == zone) {
             Some((_, n)) => *n += 1,
--- a/crates/plankhead-core/src/settings.rs
+++ b/crates/plankhead-core/src/settings.rs
@@ -26,15 +26,15 @@
 pub struct Sizing {
     /// S: the largest acceptable average bounded slowdown.
     pub threshold: f64,
-    /// Time between rounds.
-    pub interval: Duration,
+    /// Time between rounds; without it, machines' boots decide.
+    pub interval: Option<Duration>,
     /// U: machines of one type at most; without it, the guarantees decide.
     pub capacity: Option<u32>,
 }
 
 impl Default for Sizing {
     fn default() -> Self {
-        Self { threshold: 1.15, interval: Duration::from_secs(50), capacity: None }
+        Self { threshold: 1.15, interval: None, capacity: None }
     }
 }
 
--- a/crates/plankhead-core/tests/plain/mod.rs
+++ b/crates/plankhead-core/tests/plain/mod.rs
@@ -93,13 +93,14 @@
                 break;
             }
             let find = |held: Option<&Held>| {
-                let mut best: Option<(Duration, f64, usize)> = None;
+                let mut best: Option<(Duration, f64, f64, usize)> = None;
                 for (s, slot) in slots.iter().enumerate() {
                     let room = slot.ready <= now && work[i].each.fits(&slot.free);
                     if !room || !suits(slot, &work[i]) || !spares(slot, s, &work[i], now, held) {
                         continue;
                     }
-                    let score = (fetch(slot, &work[i]), slot.free.cpus, s);
+                    let price = if now > work[i].again_by { -slot.price } else { slot.price };
+                    let score = (fetch(slot, &work[i]), price, slot.free.cpus, s);
                     if best.is_none_or(|b| score.partial_cmp(&b).unwrap().is_lt()) {
                         best = Some(score);
                     }
@@ -114,7 +115,7 @@
             };
             let all = || slots.iter().enumerate().filter(|(_, s)| suits(s, &work[i]));
             let opening = |(s, slot): (usize, &Slot)| opens(slot, &work[i].each, now).map(|at| (at, s));
-            let Some((cold, _, s)) = best else {
+            let Some((cold, _, _, s)) = best else {
                 open[i] = false;
                 if held.is_none() {
                     let first = all().filter_map(opening).min();
--- a/crates/plankhead-core/tests/scheduling.rs
+++ b/crates/plankhead-core/tests/scheduling.rs
@@ -36,6 +36,7 @@
     Slot {
         pool: 0,
         zone: 0,
+        price: 1.0,
         free: Resources { cpus: free, gpus: 0.0, ram: 100.0 },
         ready: NOW,
         running: running.collect(),
@@ -52,6 +53,7 @@
         guaranteed: true,
         accepted: NOW,
         due: NOW,
+        again_by: Duration::MAX,
         each: cpus(each),
         image: 7,
         image_gb: 10.0,
@@ -106,6 +108,7 @@
         let mut s = slot(rng.random_range(0..9).into(), &ends);
         s.zone = i % 3;
         s.pool = i;
+        s.price = [0.4, 1.0][i % 2];
         s.images = (0..4).filter(|_| rng.random_range(0..3) == 0).collect();
         s.fetching = rng.random_range(0..2);
         s.ready = NOW + secs([0, 0, 0, 7][rng.random_range(0..4)]);
@@ -121,6 +124,7 @@
         w.urgency = if rng.random_range(0..3) == 0 { Urgency::Urgent } else { Urgency::Standard };
         w.due = NOW + secs(rng.random_range(0..3));
         w.accepted = NOW - secs(rng.random_range(0..200));
+        w.again_by = if rng.random_range(0..3) == 0 { NOW - secs(1) } else { NOW };
         w.one_zone = i % 4 == 1;
         w.pools = (0..6).map(|p| ![0, 3, 6].contains(&i) || p % 2 == 1).collect();
         w.zone_most = if i % 4 == 2 { w.pending.div_ceil(2) } else { u32::MAX };
@@ -168,6 +172,22 @@
     assert!(all > 4000, "{all} starts");
 }
 
+/// Of machines with the image the cheap one is filled, so that the dear one can go
+/// back; but it may be taken away, and what has no time for a second run takes the
+/// dear one.
+#[test]
+fn cheap_machines_take_what_may_be_lost() {
+    let start = |again_by| {
+        let mut slots = vec![slot(4.0, &[(100, 4.0)]), slot(8.0, &[])];
+        slots[1].price = 0.4;
+        let mut one = [work(4.0, 1, 10)];
+        one[0].again_by = again_by;
+        pass(NOW, &mut slots, &mut one, &mut [team(100.0, 100.0)])[0].slot
+    };
+    assert_eq!(start(NOW), 1, "although the other is fuller");
+    assert_eq!(start(NOW - secs(1)), 0);
+}
+
 /// Urgent before standard whatever the guarantees; then guarantees; then the
 /// team that holds the smaller part of its share.
 #[test]
--- a/crates/plankhead/src/config.rs
+++ b/crates/plankhead/src/config.rs
@@ -44,9 +44,10 @@
     /// S: the largest acceptable average bounded slowdown.
     #[cfg_attr(test, schemars(range(min = 1.0, max = 1e6)))]
     pub threshold: f64,
-    /// Seconds between rounds; longer than a machine's boot.
+    /// Seconds between rounds; longer than a machine's boot. Without it, half as
+    /// long again as the longest usual boot.
     #[cfg_attr(test, schemars(range(min = 5.0, max = 86400.0)))]
-    pub interval_s: f64,
+    pub interval_s: Option<f64>,
     /// U: machines of one type at most. Without it, what the teams' guarantees
     /// would fill, and half as much again under overload; either way less once
     /// the cloud refuses more.
@@ -57,7 +58,11 @@
 impl Default for OperatorSizing {
     fn default() -> Self {
         let core = Sizing::default();
-        Self { threshold: core.threshold, interval_s: core.interval.as_secs_f64(), capacity: core.capacity }
+        Self {
+            threshold: core.threshold,
+            interval_s: core.interval.map(|i| i.as_secs_f64()),
+            capacity: core.capacity,
+        }
     }
 }
 
@@ -260,7 +265,7 @@
         clock_off: Duration::from_secs_f64(r.amount(root, "params.clock_off_ms", 0.0, 1e6) / 1e3),
         sizing: Sizing {
             threshold: operator.sizing.threshold,
-            interval: Duration::from_secs_f64(operator.sizing.interval_s),
+            interval: operator.sizing.interval_s.map(Duration::from_secs_f64),
             capacity: operator.sizing.capacity,
         },
     };
