--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -343,7 +343,7 @@
                 continue;
             }
             let ran = attempt.running.map_or(Duration::ZERO, |at| now.saturating_sub(at));
-            let young = ran < self.estimate(&entry.spec) / 4;
+            let young = ran < self.estimate(&entry.spec) / 2;
             let often = attempt.number > MOST_PREEMPTED;
             if attempt.seen.is_some() && young && !often && urgency < Urgency::Critical {
                 found.tasks.push(Victim { ran, task: task.clone(), each, urgency });
--- a/crates/plankhead-core/src/leader/view.rs
+++ b/crates/plankhead-core/src/leader/view.rs
@@ -22,7 +22,7 @@
     }
 
     pub(super) fn stuck(&self, entry: &Entry, now: Duration) -> bool {
-        let idle = entry.running == 0 && entry.placed == 0;
+        let idle = entry.running == 0 && entry.placed == 0 && entry.unfinished() > 0;
         idle && now.saturating_sub(entry.accepted) > STUCK || entry.error_hosts.len() > 1
     }
 
