--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -151,7 +151,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Fleet {
     pub rigs: BTreeMap<String, Rig>,
     pub machines: BTreeMap<HostName, Machine>,
@@ -382,6 +382,7 @@
         for machine in self.machines.values_mut() {
             machine.heard = now;
             machine.direct = now;
+            machine.unanswered = 0;
         }
     }
 
@@ -424,7 +425,7 @@
                 (now.saturating_sub(machine.since) > patience && quiet > silent).then_some(Leaving::NeverUp)
             } else if quiet > silent || mute {
                 Some(Leaving::Silent)
-            } else if machine.unlisted >= 2 && quiet > silent / 2 {
+            } else if machine.unlisted >= 2 && quiet > missed.max(silent / 2) {
                 Some(Leaving::Unlisted)
             } else if machine.errors >= MOST_ERRORS {
                 Some(Leaving::Faulty)
@@ -439,8 +440,7 @@
         judged
     }
 
-    /// Machines whose report is late and that nothing was asked of yet, in zones
-    /// that are not cut off as a whole.
+    /// Machines whose report is late and that may still be asked why.
     pub fn late(&self, now: Duration, gap: Duration) -> Vec<HostName> {
         let asks = |m: &&Machine| {
             m.up() && !m.busy && !m.relayed && m.unanswered < MOST_UNANSWERED && !m.address.is_empty()
--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -267,6 +267,10 @@
             fleet.observe(&up, 7, NOW + quiet);
         }
         fleet.machines.get_mut("i-1").unwrap().unanswered = unanswered;
+        // What went unanswered while the leader itself was cut off says nothing.
+        let mut forgiven = fleet.clone();
+        forgiven.forgive(NOW);
+        assert_eq!(forgiven.judge(NOW + quiet, &settings), 0);
         let late = !fleet.late(NOW + quiet, settings.gap()).is_empty();
         (late, fleet.judge(NOW + quiet, &settings))
     };
