--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -295,7 +295,8 @@
     starts
 }
 
-/// A reservation for the task that has waited longest for room, before anything
+/// A reservation for the task that has waited longest for room, of jobs that have
+/// not begun if there are such (one began after 302 s in a burst), before anything
 /// else starts: small tasks that keep coming would fill every gap before it is
 /// wide enough, the more urgent ones for ever.
 fn starved(slots: &[Slot], work: &[Work], teams: &[TeamRoom], now: Duration) -> Option<Reservation> {
@@ -303,7 +304,8 @@
         let aged = w.pending > 0 && now.saturating_sub(w.accepted) > AGED;
         aged && teams[w.team].admits(&w.each)
     };
-    let (i, first) = work.iter().enumerate().filter(|(_, w)| waits(w)).min_by_key(|(_, w)| w.accepted)?;
+    let (i, first) =
+        work.iter().enumerate().filter(|(_, w)| waits(w)).min_by_key(|(_, w)| (w.begun, w.accepted))?;
     let strict = now.saturating_sub(first.accepted) > STRICT;
     let yields = if strict { None } else { Some(first.urgency) };
     reserve(slots, first, now).map(|held| Reservation { yields, by: Some(i), ..held })
--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -76,6 +76,7 @@
             zone_most: if spec.scatter { spec.tasks.div_ceil(2) } else { u32::MAX },
             estimate: self.estimate(spec),
             pending: spec.tasks,
+            begun: false,
             zones: Vec::new(),
         }
     }
@@ -142,6 +143,7 @@
             let Some(entry) = self.ledger.jobs.get(&id) else { continue };
             work.guaranteed = guaranteed[need];
             work.pending = entry.pending();
+            work.begun = entry.fresh > 0;
             work.zones = entry.zones.iter().map(|(z, n)| (self.places.zone(z), *n)).collect();
             both.push((id, work));
         }
@@ -149,7 +151,7 @@
             both.sort_by_key(|(_, w)| (std::cmp::Reverse(w.urgency), !w.guaranteed, w.due));
             // Whoever has waited longest has a machine kept, however much urgent
             // work stands before it.
-            let oldest = (0..both.len()).min_by_key(|i| both[*i].1.accepted).unwrap_or(0);
+            let oldest = (0..both.len()).min_by_key(|i| (both[*i].1.begun, both[*i].1.accepted)).unwrap_or(0);
             both.swap(oldest.max(MOST_WORK - 1), MOST_WORK - 1);
             both.truncate(MOST_WORK);
         }
--- a/crates/plankhead-core/src/queue.rs
+++ b/crates/plankhead-core/src/queue.rs
@@ -49,6 +49,8 @@
     pub zone_most: u32,
     pub estimate: Duration,
     pub pending: u32,
+    /// Some task of the job was placed already.
+    pub begun: bool,
     /// Attempts not proven gone, by zone.
     pub zones: Vec<(usize, u32)>,
 }
--- a/crates/plankhead-core/tests/scheduling.rs
+++ b/crates/plankhead-core/tests/scheduling.rs
@@ -63,6 +63,7 @@
         estimate: secs(estimate),
         pending,
         zones: Vec::new(),
+        begun: false,
     }
 }
 
@@ -125,6 +126,7 @@
         w.due = NOW + secs(rng.random_range(0..3));
         w.accepted = NOW - secs(rng.random_range(0..200));
         w.again_by = if rng.random_range(0..3) == 0 { NOW - secs(1) } else { NOW };
+        w.begun = rng.random_range(0..2) == 0;
         w.one_zone = i % 4 == 1;
         w.pools = (0..6).map(|p| ![0, 3, 6].contains(&i) || p % 2 == 1).collect();
         w.zone_most = if i % 4 == 2 { w.pending.div_ceil(2) } else { u32::MAX };
@@ -194,6 +196,21 @@
     assert_eq!(start(NOW - secs(1)), 0);
 }
 
+/// Of two jobs that have waited for minutes, the one that has not begun has the
+/// next machine kept, although the other came first.
+#[test]
+fn who_has_not_begun_comes_first_in_the_end() {
+    let first = |begun| {
+        let mut slots = vec![slot(8.0, &[])];
+        let mut both = [work(8.0, 9, 50), work(8.0, 1, 50)];
+        both[0].accepted = NOW - secs(300);
+        both[1].accepted = NOW - secs(200);
+        both[0].begun = begun;
+        pass(NOW, &mut slots, &mut both, &mut [team(100.0, 100.0)])[0].work
+    };
+    assert_eq!((first(false), first(true)), (0, 1));
+}
+
 /// Urgent before standard whatever the guarantees; then guarantees; then the
 /// team that holds the smaller part of its share.
 #[test]
