--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -296,18 +296,18 @@
 }
 
 /// A reservation for the task that has waited longest for room, of jobs that have
-/// not begun if there are such (one began after 302 s in a burst), before anything
-/// else starts: small tasks that keep coming would fill every gap before it is
+/// not begun after the longer time if there are such (one began after 302 s in a
+/// burst), before anything else starts: small tasks that keep coming would fill every gap before it is
 /// wide enough, the more urgent ones for ever.
 fn starved(slots: &[Slot], work: &[Work], teams: &[TeamRoom], now: Duration) -> Option<Reservation> {
+    let old = |w: &Work| now.saturating_sub(w.accepted) > STRICT;
+    let order = |w: &Work| (w.begun || !old(w), w.accepted);
     let waits = |w: &Work| {
         let aged = w.pending > 0 && now.saturating_sub(w.accepted) > AGED;
         aged && teams[w.team].admits(&w.each)
     };
-    let (i, first) =
-        work.iter().enumerate().filter(|(_, w)| waits(w)).min_by_key(|(_, w)| (w.begun, w.accepted))?;
-    let strict = now.saturating_sub(first.accepted) > STRICT;
-    let yields = if strict { None } else { Some(first.urgency) };
+    let (i, first) = work.iter().enumerate().filter(|(_, w)| waits(w)).min_by_key(|(_, w)| order(w))?;
+    let yields = if old(first) { None } else { Some(first.urgency) };
     reserve(slots, first, now).map(|held| Reservation { yields, by: Some(i), ..held })
 }
 
--- a/crates/plankhead-core/tests/plain/mod.rs
+++ b/crates/plankhead-core/tests/plain/mod.rs
@@ -77,12 +77,14 @@
     let old = |(_, w): &(usize, &Work)| w.pending > 0 && now > w.accepted + Duration::from_secs(60);
     let admitted = |(_, w): &(usize, &Work)| teams[w.team].admits(&w.each);
     let aged = work.iter().enumerate().filter(old).filter(admitted);
-    let mut held = aged.min_by_key(|(_, w)| (w.begun, w.accepted)).and_then(|(i, w)| {
-        let all = slots.iter().enumerate().filter(|(_, s)| suits(s, w));
-        let (at, slot) = all.filter_map(|(i, s)| opens(s, &w.each, now).map(|at| (at, i))).min()?;
-        let young = now <= w.accepted + Duration::from_secs(150);
-        Some(Held { slot, at, each: w.each, breakable: young.then_some(w.urgency), owner: Some(i) })
-    });
+    let mut held = aged
+        .min_by_key(|(_, w)| (w.begun || now <= w.accepted + Duration::from_secs(150), w.accepted))
+        .and_then(|(i, w)| {
+            let all = slots.iter().enumerate().filter(|(_, s)| suits(s, w));
+            let (at, slot) = all.filter_map(|(i, s)| opens(s, &w.each, now).map(|at| (at, i))).min()?;
+            let young = now <= w.accepted + Duration::from_secs(150);
+            Some(Held { slot, at, each: w.each, breakable: young.then_some(w.urgency), owner: Some(i) })
+        });
     while let Some(i) = next(work, teams, &open) {
         for _ in 0..TURN {
             if work[i].pending == 0 {
