--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -25,6 +25,8 @@
 /// Commands in a row without an answer after which a machine whose report is late
 /// is lost.
 const MOST_UNANSWERED: u32 = 2;
+/// One machine in so many is few.
+const FEW: usize = 50;
 /// Errors in a row after which a machine is retired.
 const MOST_ERRORS: u32 = 3;
 
@@ -397,13 +399,18 @@
             *all += 1;
         }
         let short = settings.silence();
+        // Many at once may be out of this node's reach only, and come through a
+        // sibling.
+        let mute = |m: &Machine| m.unanswered >= MOST_UNANSWERED && now.saturating_sub(m.heard) > missed;
+        let up = self.machines.values().filter(was_up).count();
+        let few = self.machines.values().filter(was_up).filter(|m| mute(m)).count() * FEW <= up;
         for machine in self.machines.values_mut().filter(|m| m.leaving.is_none()) {
             let (silent_here, all) = zones.get(&machine.pool.zone).copied().unwrap_or_default();
             let boot = self.rigs.get(&machine.pool.rig).map_or(Duration::from_secs(60), |r| r.boot);
             let cut = silent_here > 2 && silent_here * 2 > all;
             let silent = if cut { short.max(lease + boot / 2) } else { short };
             let quiet = now.saturating_sub(machine.heard);
-            let mute = !cut && quiet > missed && machine.unanswered >= MOST_UNANSWERED;
+            let mute = !cut && few && mute(machine);
             // A machine that was taken before a new leader came never reports to
             // it: only silence tells, not the patience for a boot.
             let reason = if machine.newest.is_none() && !machine.was_up {
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -26,14 +26,15 @@
 /// Pause between attempts to read the catalog, and between refreshes.
 const CATALOG_RETRY: Duration = Duration::from_secs(1);
 const CATALOG_AGE: Duration = Duration::from_secs(300);
-/// Jobs whose progress one pulse tells.
-const MOST_PROGRESS: usize = 300;
+/// Jobs whose progress one pulse tells: all that a fleet of two thousand machines
+/// works on. Other nodes show those left out as queued.
+pub const MOST_PROGRESS: usize = 2_000;
 
 /// A worker that comes back this long after it was sent to the leader has not
 /// reached it; after the longer time it says nothing.
 const SENT: Duration = Duration::from_secs(1);
 const SENT_LIFE: Duration = Duration::from_secs(15);
-const MOST_SENT: usize = 2_000;
+const MOST_SENT: usize = 10_000;
 
 /// What a call was for.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -261,6 +261,11 @@
         let mut up = report(1, 1, &[]);
         up.baton = 7;
         fleet.observe(&up, 7, NOW);
+        // One of many: more at once may be out of reach only.
+        for n in 2..=50 {
+            up.host = format!("i-{n}").into();
+            fleet.observe(&up, 7, NOW + quiet);
+        }
         fleet.machines.get_mut("i-1").unwrap().unanswered = unanswered;
         let late = !fleet.late(NOW + quiet, settings.gap()).is_empty();
         (late, fleet.judge(NOW + quiet, &settings))
--- a/crates/plankhead/src/driver.rs
+++ b/crates/plankhead/src/driver.rs
@@ -18,8 +18,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-/// Commands that wait at most; above, requests are refused at once.
-const MOST_COMMANDS: usize = 1024;
+/// Room in the queue of commands beside one for each connection; above, requests
+/// are refused at once.
+const MORE_COMMANDS: usize = 256;
 const MOST_BATCH: usize = 256;
 /// The core's clock runs at least this often.
 const TICK: Duration = Duration::from_millis(50);
@@ -183,7 +184,7 @@
 
 /// Runs a node until the process ends.
 pub async fn run(config: Config) -> Result<(), RunError> {
-    let (queue, mut commands) = mpsc::channel(MOST_COMMANDS);
+    let (queue, mut commands) = mpsc::channel(config.connections + MORE_COMMANDS);
     let healthy = Arc::new(AtomicBool::new(true));
     let sibling = |(name, at): &(String, _)| (name.clone(), Arc::new(Sibling::new(*at)));
     let siblings: Siblings = Arc::new(config.siblings.iter().map(sibling).collect());
--- a/crates/plankhead/src/http.rs
+++ b/crates/plankhead/src/http.rs
@@ -24,8 +24,10 @@
 const MOST_RESPONSE: usize = 8 * 1024 * 1024;
 /// The largest request body, by the protocol.
 pub const MOST_REQUEST: usize = 64 * 1024;
-/// A connection that sends no request for this long is closed.
-const IDLE: Duration = Duration::from_secs(75);
+/// A connection that sends no request for this long is closed: workers and users
+/// come every few seconds, and those that a cut or a takeover left behind must not
+/// use up the sockets.
+const IDLE: Duration = Duration::from_secs(25);
 /// A request's body must be there within this time.
 const BODY: Duration = Duration::from_secs(4);
 /// Connections kept open for the next call.
--- a/crates/plankhead/src/peer.rs
+++ b/crates/plankhead/src/peer.rs
@@ -6,6 +6,7 @@
 use crate::wire;
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
+use plankhead_core::node::MOST_PROGRESS;
 use plankhead_core::protocol::{Event, Progress, Pulse};
 use rkyv::{Archive, Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -20,8 +21,7 @@
 /// Reports under way to one sibling at most.
 const MOST_RELAYS: usize = 24;
 const MOST_RELAY: usize = http::MOST_REQUEST + 1024;
-const MOST_PULSE: usize = 128 * 1024;
-const MOST_PROGRESS: usize = 1_000;
+const MOST_PULSE: usize = 256 * 1024;
 
 #[derive(Archive, Serialize, Deserialize)]
 struct PulseMessage {
--- a/crates/plankhead/src/tests/service.rs
+++ b/crates/plankhead/src/tests/service.rs
@@ -8,7 +8,11 @@
 use hyper::Method;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 struct Service {
     world: Shared,
@@ -169,3 +173,52 @@
     assert!(sibling.relay(report.to_string().as_bytes()).await.is_none(), "no pause after a failure");
     assert!(asked.elapsed() < Duration::from_millis(500));
 }
+
+/// After a takeover the whole fleet connects at once; each worker is answered
+/// before it would give up, and users meanwhile. Past the sockets, further
+/// connections are closed at once, and there is room again once others go.
+#[tokio::test]
+async fn many_workers_connect_at_once_and_sockets_run_out() {
+    let service = start().await;
+    standins::machine(&service.world, "i-000004", service.api).await;
+    assert_eq!(service.submit(job("job-000008", 1, json!({}))).await, 201);
+    service.done("/work/job-000008").await;
+    let clients: Vec<Arc<Client>> = (0..400).map(|_| Arc::new(Client::new(service.api))).collect();
+    let beats = clients.iter().enumerate().map(|(n, client)| {
+        let report = json!({"host": format!("i-1{n:05}"), "address": "127.0.0.1:9", "rig": "r", "yard": "a",
+            "loaners": true, "shift": 1, "tick": 1, "baton": 0, "warningS": null, "pieces": []});
+        let client = client.clone();
+        tokio::spawn(async move {
+            let body = report.to_string().into_bytes();
+            let start = Instant::now();
+            loop {
+                // Both ends share a thread here: a connect may take its full time.
+                match client.call(Method::POST, "/agent/beat", body.clone(), Duration::from_secs(4)).await {
+                    Ok((status, _)) => return (status.as_u16(), start.elapsed()),
+                    Err(_) => assert!(start.elapsed() < Duration::from_secs(8), "given up"),
+                }
+            }
+        })
+    });
+    for beat in beats.collect::<Vec<_>>() {
+        let (status, took) = beat.await.unwrap();
+        assert!(status == 200 && took < Duration::from_secs(4), "{status} after {took:?}");
+    }
+    assert_eq!(service.submit(job("job-000009", 1, json!({}))).await, 201);
+    // Of 600 sockets 450 are for those who come.
+    let mut held = Vec::new();
+    for _ in 0..100 {
+        held.push(TcpStream::connect(service.api).await.unwrap());
+    }
+    let mut last = held.pop().unwrap();
+    let closed = timeout(Duration::from_secs(1), last.read(&mut [0; 1])).await;
+    assert!(matches!(closed, Ok(Ok(0) | Err(_))), "{closed:?}");
+    assert_eq!(service.ask(Method::GET, "/healthz", Value::Null).await.0, 200);
+    drop((held, clients));
+    let late = Client::new(service.api);
+    let start = Instant::now();
+    while late.call(Method::GET, "/healthz", Vec::new(), Duration::from_secs(1)).await.is_err() {
+        assert!(start.elapsed() < Duration::from_secs(5), "no room again");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
