Tests: what the versions share, as bytes of the version in production

Records, placements, the leader's key, the target, pulses and relayed reports were recorded from and are read and written again byte for byte; chunks for larger values are laid anew step by step; the gate; a large record can be cancelled.

--- /dev/null
+++ b/crates/plankhead-core/tests/upgrade.rs
@@ -0,0 +1,251 @@
+//! What the versions share: bytes recorded from the version in production before
+//! gangs (9ca3cb3), and what this one writes, read by that version's frozen readers.
+
+#![allow(clippy::unwrap_used)]
+
+#[allow(dead_code)]
+mod before;
+
+use plankhead_core::election::Holder;
+use plankhead_core::gate::{Gate, Step};
+use plankhead_core::job::{JobId, JobRecord, Phase};
+use plankhead_core::leader::{Size, Target};
+use plankhead_core::ledger::{tasks_per_chunk, Ledger, TaskState};
+use plankhead_core::node::Out;
+use plankhead_core::protocol::*;
+use plankhead_core::settings::{Settings, Sizing};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1000);
+const SPEC: &str = r#"{"class":"calib","team":"desk","urgency":"urgent","tasks":12,"each":{"cpus":4.0,"gpus":0.0,"ram":10.5},"image":"img-7","image_gb":0.7,"rigs":["r"],"zone":null,"one_zone":true,"scatter":false,"spot":true,"estimate":20.25,"checkpoint":0.0,"save":0.0,"due":90.0}"#;
+const RUN: &str = r#"{"h":[["i-000001",3,"z"],["i-000002",3,"z"]],"t":[[0,1,0],[1,1,0],[2,1,1]],"d":[]}"#;
+
+fn live() -> String {
+    format!(r#"{{"phase":"live","spec":{SPEC},"tasks":12,"per_chunk":400,"accepted_ms":1790000000123}}"#)
+}
+
+fn id() -> JobId {
+    JobId::parse("job-000412").unwrap()
+}
+
+/// Records are read, and written again byte for byte.
+#[test]
+fn records_of_the_version_before() {
+    let cancelled = format!(
+        r#"{{"phase":"cancelled","spec":{SPEC},"tasks":12,"per_chunk":400,"accepted_ms":1790000000123,"cancelled_ms":1790000004567}}"#
+    );
+    let done = r#"{"phase":"done","tasks":12,"per_chunk":0,"accepted_ms":0}"#;
+    for (text, phase) in
+        [(live(), Phase::Live), (cancelled, Phase::Cancelled), (done.to_string(), Phase::Done)]
+    {
+        let record: JobRecord = serde_json::from_str(&text).unwrap();
+        assert_eq!(record.phase, phase);
+        assert!(!record.spec.as_ref().is_some_and(|s| s.gang));
+        assert_eq!(serde_json::to_string(&record).unwrap(), text);
+        assert!(before::reads("job/job-000412", &text));
+    }
+    let holder = r#"{"host":"plank-1","boot":7,"hold":9}"#;
+    let read: Holder = serde_json::from_str(holder).unwrap();
+    assert_eq!(serde_json::to_string(&read).unwrap(), holder);
+    let target = r#"{"round":4,"at_ms":1790000000123,"rigs":{"r":{"machines":7,"ordinary":2}}}"#;
+    let read: Target = serde_json::from_str(target).unwrap();
+    assert_eq!(read.rigs["r"], Size { machines: 7, ordinary: 2 });
+    assert_eq!(serde_json::to_string(&read).unwrap(), target);
+}
+
+fn loaded(record: &str) -> Ledger {
+    let mut ledger = Ledger::default();
+    let record: JobRecord = serde_json::from_str(record).unwrap();
+    let per_chunk = record.per_chunk;
+    ledger.upsert(&id(), record, 5, NOW, None, per_chunk);
+    ledger
+}
+
+/// Placements are read, and written again so that the version before reads them.
+#[test]
+fn placements_of_the_version_before() {
+    let mut ledger = loaded(&live());
+    ledger.load_chunk(&id(), 0, RUN, 7, NOW).unwrap();
+    ledger.loaded();
+    let entry = &ledger.jobs[&id()];
+    assert_eq!((entry.placed, entry.pending(), entry.fresh), (3, 9, 3));
+    let (text, _) = ledger.encode(&id(), 0).unwrap();
+    assert_eq!(text, RUN);
+    let read: before::ChunkText = serde_json::from_str(&text).unwrap();
+    assert_eq!((read.h.len(), read.t.len()), (2, 3));
+}
+
+/// A gang would be run as an array by the version before: the frozen readers tell.
+#[test]
+fn a_gang_is_nothing_for_the_version_before() {
+    let mut record: JobRecord = serde_json::from_str(&live()).unwrap();
+    if let Some(spec) = &mut record.spec {
+        spec.gang = true;
+    }
+    let text = serde_json::to_string(&record).unwrap();
+    assert!(!before::reads("job/job-000412", &text));
+    assert!(serde_json::from_str::<before::JobRecord>(&text).is_ok(), "it would run it as an array");
+    assert!(serde_json::from_str::<JobRecord>(&text).unwrap().spec.unwrap().gang);
+}
+
+/// Of 120 tasks in one chunk of the version before: 40 done, 40 on machines and 40
+/// that have ended. Nothing is larger than what may be written, and whenever the
+/// leader stops between two writes, the next one knows the same.
+#[test]
+fn chunks_for_larger_values_are_laid_anew() {
+    let most = 1024;
+    let small = tasks_per_chunk(most);
+    let record = live().replace("\"tasks\":12", "\"tasks\":120");
+    let host = |i: u32| format!("[\"i-{i:06}\",1,\"raekoja-hall\"]");
+    let hosts: Vec<String> = (0..40).map(host).collect();
+    let tasks: Vec<String> = (40..80).map(|i| format!("[{i},2,{}]", i - 40)).collect();
+    let idle: Vec<String> = (80..120).map(|i| format!("[{i},1,-1]")).collect();
+    let base = format!(
+        "{{\"h\":[{}],\"t\":[{},{}],\"d\":[[0,39]]}}",
+        hosts.join(","),
+        tasks.join(","),
+        idle.join(",")
+    );
+    assert!(base.len() > most);
+
+    let mut ledger = loaded(&record);
+    ledger.load_chunk(&id(), 0, &base, 7, NOW).unwrap();
+    ledger.loaded();
+    // One more placement is on its way and must be waited for.
+    let placed = ledger.place(&id(), &"i-000099".into(), 1, &"z".into(), NOW).unwrap();
+    ledger.jobs.get_mut(&id()).unwrap().chunks.get_mut(&0).unwrap().writing = true;
+    assert!(ledger.lay_anew(small));
+    ledger.write_failed(&id(), 0, false);
+    assert!(!ledger.lay_anew(small));
+    assert!(!ledger.written(&placed), "a placement that no value holds counts as written");
+    let all = |l: &Ledger| {
+        let entry = &l.jobs[&id()];
+        let tasks = entry.chunks.values().flat_map(|c| &c.tasks).map(|(i, t)| {
+            let place = match &t.state {
+                TaskState::Placed(a) => Some((a.host.clone(), a.shift, a.number)),
+                _ => None,
+            };
+            (*i, place)
+        });
+        (entry.done, entry.placed, entry.pending(), tasks.collect::<BTreeMap<_, _>>())
+    };
+    // Step by step: one more end, one more chunk written.
+    let mut stored: BTreeMap<u32, String> = BTreeMap::new();
+    for round in 0..6 {
+        for (job, number) in ledger.dirty.clone() {
+            let (text, version) = ledger.encode(&job, number).unwrap();
+            assert!(text.len() <= most, "{} bytes", text.len());
+            assert!(!before::reads(&job.chunk_key(number, true), &text));
+            stored.insert(number, text);
+            ledger.committed(&job, number, version, 20 + round);
+            let mut next = loaded(&record);
+            next.load_chunk(&id(), 0, &base, 7, NOW).unwrap();
+            next.lay_anew(small);
+            for (number, text) in &stored {
+                next.load_chunk(&id(), *number, text, 9, NOW).unwrap();
+            }
+            next.loaded();
+            let (mut known, read) = (all(&ledger), all(&next));
+            // What is not written yet is not known to the next one.
+            if !ledger.dirty.is_empty() {
+                known.1 = read.1;
+            }
+            assert_eq!(known.1, read.1);
+            assert_eq!(known.3.len(), read.3.len());
+            assert_eq!(next.jobs[&id()].zones.values().sum::<u32>(), read.1);
+        }
+        let task = TaskId { job: id(), index: 41 + round as u32 };
+        let host = ledger.attempt(&task).unwrap().host.clone();
+        let seen = Seen::Ended(Cause::Done);
+        let report = Report {
+            host,
+            address: "a".into(),
+            rig: "r".into(),
+            zone: "raekoja-hall".into(),
+            spot: true,
+            shift: 1,
+            tick: 5,
+            baton: 1,
+            warning: None,
+            tasks: vec![Listed { task, attempt: 2, seen }],
+        };
+        let (ended, _) = ledger.observe(&report, true, NOW);
+        assert_eq!(ended.len(), 1);
+    }
+    assert!(ledger.written(&placed));
+    let keys = ledger.jobs[&id()].stored(&id());
+    assert!(
+        keys.contains(&"run/job-000412/0".to_string()),
+        "the old chunk is dropped with the job: {keys:?}"
+    );
+    assert!(keys.contains(&id().chunk_key(placed.index / small, true)), "{keys:?}");
+}
+
+/// A job with the longest lists that the version before took is cancelled under the
+/// lower limits: its record would have been too large for ever.
+#[test]
+fn a_large_record_can_be_cancelled() {
+    let mut record: JobRecord = serde_json::from_str(&live()).unwrap();
+    if let Some(spec) = &mut record.spec {
+        spec.rigs = Some((0..64).map(|i| format!("{i:0>100}")).collect());
+        (spec.image, spec.class) = ("i".repeat(200), "c".repeat(200));
+    }
+    assert!(serde_json::to_string(&record).unwrap().len() > 6000);
+    assert_eq!(record.text(2048), None);
+    record.phase = Phase::Cancelled;
+    let text = record.text(2048).unwrap();
+    let read: JobRecord = serde_json::from_str(&text).unwrap();
+    let spec = read.spec.unwrap();
+    assert_eq!((spec.team.as_str(), spec.tasks, spec.each.cpus), ("desk", 12, 4.0));
+}
+
+fn settings() -> Settings {
+    Settings {
+        host: "plank-0".into(),
+        boot: 1,
+        nodes: 3,
+        siblings: vec!["plank-1".into(), "plank-2".into()],
+        teams: BTreeMap::new(),
+        expectations: BTreeMap::new(),
+        report: Duration::from_secs(1),
+        lease: Duration::from_secs(11),
+        cancel: Duration::from_secs(36),
+        state_rps: 250.0,
+        write_rps: 60.0,
+        write_rps_next: 42.0,
+        value_bytes: 2048,
+        txn_ops: 4,
+        cloud_rps: 3.0,
+        list_lag: Duration::from_secs(3),
+        clock_off: Duration::ZERO,
+        sizing: Sizing::default(),
+    }
+}
+
+/// The gate opens once every node has shown this version, and not for one that has
+/// shown an earlier format; nothing closes it.
+#[test]
+fn gangs_wait_for_every_node() {
+    let row = |host: &str, format: u32| Row {
+        key: format!("node/{host}"),
+        value: format!("{{\"format\":{format}}}"),
+        stamp: 1,
+    };
+    let look = |rows: Vec<Row>| {
+        let (mut gate, mut out) = (Gate::new(&settings()), Out::default());
+        gate.tick(NOW, &mut out);
+        gate.reply(Step::Mark, Ok(StateReply::Conflict { failed: vec!["node/plank-0".into()] }), &mut out);
+        gate.tick(NOW, &mut out);
+        gate.reply(Step::Look, Ok(StateReply::Page { rows, truncated: false, epoch: 9 }), &mut out);
+        gate
+    };
+    assert!(!look(vec![row("plank-0", 1), row("plank-1", 1)]).open());
+    assert!(!look(vec![row("plank-0", 1), row("plank-1", 1), row("plank-2", 0)]).open());
+    let mut gate = look(vec![row("plank-0", 1), row("plank-1", 1), row("plank-2", 2), row("plank-9", 1)]);
+    assert!(gate.open());
+    let mut out = Out::default();
+    gate.reply(Step::Look, Err(CallError::Lost), &mut out);
+    gate.tick(NOW * 2, &mut out);
+    assert!(gate.open() && out.effects.is_empty());
+}
--- a/crates/plankhead/src/peer.rs
+++ b/crates/plankhead/src/peer.rs
@@ -185,3 +185,40 @@
         _ => Reply::error(404, "no such path"),
     }
 }
+
+/// What the version in production before gangs (9ca3cb3) sent, recorded from it.
+/// Messages of this kind don't extend: an added field would be unreadable to it, so
+/// that what is new goes into messages of its own.
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PULSE: &str = "6a6f622d30303034313200008a000000f4ffffff030000000d0000006a6f622d37ffffff000000000100000000000000706c616e6b2d31ff01000000000000002900000000000000c4ffffff02000000";
+    const RELAY: &str = "7b22686f7374223a22692d31227d0000f0ffffff0e000000";
+    const REPLY: &str = "7b226261746f6e223a34312c226f7264657273223a5b5d7dc8000000e4ffffff18000000000000000100000000000000dc05000000000000";
+
+    fn hex(bytes: &[u8]) -> String {
+        bytes.iter().map(|b| format!("{b:02x}")).collect()
+    }
+
+    #[test]
+    fn messages_are_those_of_the_version_before() {
+        let progress = |id: &str, done, running| Progress { id: id.into(), done, running };
+        let pulse = Pulse {
+            host: "plank-1".into(),
+            state_ok: true,
+            baton: 41,
+            progress: vec![progress("job-000412", 3, 13), progress("job-7", 0, 1)],
+        };
+        let bytes = encode(&pulse).unwrap();
+        assert_eq!(hex(&bytes), PULSE);
+        assert_eq!(decode(&bytes), Some(pulse));
+        assert_eq!(hex(&relay_message(br#"{"host":"i-1"}"#).unwrap()), RELAY);
+        let reply = Reply {
+            status: 200,
+            body: br#"{"baton":41,"orders":[]}"#.to_vec(),
+            retry: Some(Duration::from_millis(1500)),
+        };
+        assert_eq!(hex(&relay_reply(&reply).unwrap()), REPLY);
+    }
+}
