--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -345,9 +345,6 @@
             let binding = held.as_ref().filter(|h| h.by != Some(i));
             let breaks = binding.is_some_and(|h| h.yields.is_some_and(|u| work[i].urgency > u));
             if work[i].gang {
-                if begun > 0 && begun + many as usize > most {
-                    return starts;
-                }
                 let all = choose_all(slots, &room, &work[i], now, binding);
                 let all = match all {
                     None if breaks => choose_all(slots, &room, &work[i], now, None),
@@ -360,6 +357,9 @@
                     }
                     break;
                 };
+                if begun > 0 && begun + all.len() > most {
+                    return starts;
+                }
                 for s in &all {
                     start(now, slots, &mut work[i], teams, *s);
                     starts.push(Start { work: i, slot: *s, at: now });
--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -333,19 +333,24 @@
                     found.map(|(loss, count)| (loss, place, count))
                 };
                 let Some((_, place, count)) = slots.iter().enumerate().filter_map(fit).min() else { break };
-                let here = &mut lesser[place];
-                for victim in here.tasks.drain(..count) {
-                    here.room.add(&victim.each);
+                let victims: Vec<Victim> = lesser[place].tasks.drain(..count).collect();
+                for victim in victims {
+                    lesser[place].room.add(&victim.each);
                     self.ledger.stop(&victim.task);
                     told.insert(hosts[place].clone());
                     stops += 1;
+                    if victim.gang {
+                        // The others end with it and make room where they are.
+                        lesser.iter_mut().for_each(|l| l.without(&victim.task.job));
+                    }
                 }
-                here.room.sub(&each);
+                lesser[place].room.sub(&each);
                 teams[work[i].team].used.add(&each);
                 work[i].joined(slots[place].zone);
                 left -= 1;
             }
         }
+        told.append(&mut self.ledger.urgent);
         for host in told {
             self.tell(now, &host, out);
         }
@@ -368,15 +373,15 @@
             let ran = attempt.running.map_or(Duration::ZERO, |at| now.saturating_sub(at));
             let young = ran < self.estimate(&entry.spec) / 2;
             let often = attempt.number > MOST_PREEMPTED;
-            // To stop one task of a gang costs all, and frees this machine no sooner.
-            if entry.gang.is_some() {
-                continue;
-            }
+            // To stop one task of a gang costs the progress of all, or the time they
+            // need to save: they come last.
+            let gang = entry.gang.is_some();
+            let ran = if gang { ran * entry.spec.tasks } else { ran };
             if attempt.seen.is_some() && young && !often && urgency < Urgency::Critical {
-                found.tasks.push(Victim { ran, task: task.clone(), each, urgency });
+                found.tasks.push(Victim { ran, task: task.clone(), each, urgency, gang });
             }
         }
-        found.tasks.sort_by_key(|v| (v.urgency, v.ran));
+        found.tasks.sort_by_key(|v| (v.urgency, v.gang, v.ran));
         found
     }
 }
@@ -388,6 +393,7 @@
     task: TaskId,
     each: Resources,
     urgency: Urgency,
+    gang: bool,
 }
 
 /// The tasks of a machine that may be stopped, the least urgent first, and the
@@ -399,6 +405,18 @@
 }
 
 impl Lesser {
+    /// The job's tasks are being stopped.
+    fn without(&mut self, job: &JobId) {
+        let room = &mut self.room;
+        self.tasks.retain(|v| {
+            let ends = v.task.job == *job;
+            if ends {
+                room.add(&v.each);
+            }
+            !ends
+        });
+    }
+
     /// How many of the tasks would have to stop for one more, and the progress
     /// lost.
     fn victims(&self, each: &Resources, urgency: Urgency) -> Option<(Duration, usize)> {
