--- a/crates/plankhead-core/src/desk.rs
+++ b/crates/plankhead-core/src/desk.rs
@@ -114,7 +114,10 @@
 
     /// The state service may take less from now on.
     pub fn all_new(&mut self) {
-        self.writes = write_budget(self.settings.write_rps_next, self.settings.nodes);
+        let (now, next) = (self.settings.write_rps, self.settings.write_rps_next);
+        if next < now {
+            self.writes = write_budget(next, self.settings.nodes);
+        }
     }
 
     /// Remembers that a job is over; this never changes.
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -296,8 +296,10 @@
     /// what older versions can't read may be stored.
     pub fn all_new(&mut self) {
         if !std::mem::replace(&mut self.all_new, true) {
-            let rate = self.settings.write_rps_next;
-            self.writes = write_budget(rate);
+            let (now, next) = (self.settings.write_rps, self.settings.write_rps_next);
+            if next < now {
+                self.writes = write_budget(next);
+            }
             self.to_lay = true;
         }
     }
--- a/crates/plankhead-core/src/leader/view.rs
+++ b/crates/plankhead-core/src/leader/view.rs
@@ -26,32 +26,51 @@
         idle && now.saturating_sub(entry.accepted) > STUCK || entry.error_hosts.len() > 1
     }
 
+    /// What a gang that does not run waits for.
+    pub(super) fn waits_for(&self, entry: &Entry) -> Option<&'static str> {
+        let all = |seen: fn(Option<Seen>) -> bool| self.ledger.placements(entry).all(|a| seen(a.seen));
+        if entry.gang.is_none() || entry.phase != Phase::Live || entry.done > 0 {
+            return None;
+        }
+        if entry.placed == 0 {
+            return Some("room for all tasks at once");
+        }
+        if entry.ending() {
+            return Some("what is left of the last attempt");
+        }
+        if entry.running > 0 {
+            return None;
+        }
+        if !entry.complete() {
+            return Some("its placements to be written");
+        }
+        let there = all(|seen| matches!(seen, Some(Seen::Waiting)));
+        Some(if there { "its other tasks" } else { "images" })
+    }
+
     pub(super) fn tell_late(&mut self, now: Duration, out: &mut Out) {
         if now < self.late_due {
             return;
         }
         self.late_due = now + LATE_SCAN;
         let live = |e: &Entry| e.phase == Phase::Live && !e.told_late;
-        let news: Vec<(JobId, bool, bool)> = self
+        let news: Vec<(JobId, bool, bool, Option<&str>)> = self
             .ledger
             .jobs
             .iter()
             .filter(|(_, e)| live(e))
-            .map(|(id, e)| (id.clone(), self.late(e, now), self.stuck(e, now)))
-            .filter(|(_, late, stuck)| *late || *stuck)
+            .map(|(id, e)| (id.clone(), self.late(e, now), self.stuck(e, now), self.waits_for(e)))
+            .filter(|(_, late, stuck, _)| *late || *stuck)
             .collect();
-        for (id, late, stuck) in news {
+        for (id, late, stuck, waits) in news {
             if let Some(entry) = self.ledger.jobs.get_mut(&id) {
                 entry.told_late = true;
                 let what = if stuck { "is stuck" } else { "is late" };
                 let age = now.saturating_sub(entry.accepted).as_secs();
-                out.log(
-                    Level::Info,
-                    format!(
-                        "{id} {what} after {age} s: {} of {} done (late: {late})",
-                        entry.done, entry.spec.tasks
-                    ),
-                );
+                let (done, tasks) = (entry.done, entry.spec.tasks);
+                let gang = waits.map(|w| format!(", waits for {w}")).unwrap_or_default();
+                let text = format!("{id} {what} after {age} s: {done} of {tasks} done (late: {late}){gang}");
+                out.log(Level::Info, text);
             }
         }
     }
@@ -70,10 +89,26 @@
                     "ageS": now.saturating_sub(e.accepted).as_secs_f64(),
                     "pieces": e.spec.tasks, "done": e.done, "running": e.running,
                     "late": self.late(e, now), "stuck": self.stuck(e, now),
+                    "gang": e.spec.gang, "waitsFor": self.waits_for(e),
                     "failedOn": e.error_hosts.iter().map(|h| h.as_ref()).collect::<Vec<&str>>(),
                 })
             })
             .collect();
+        // Late or not: none should wait for long.
+        let gangs: Vec<_> = self
+            .ledger
+            .jobs
+            .iter()
+            .filter_map(|(id, e)| Some((id, e, self.waits_for(e)?)))
+            .take(1000)
+            .map(|(id, e, waits)| {
+                serde_json::json!({
+                    "nameId": id, "waitsFor": waits, "pieces": e.spec.tasks, "placed": e.placed,
+                    "ageS": now.saturating_sub(e.accepted).as_secs_f64(),
+                    "try": e.gang.as_ref().map(|g| g.number),
+                })
+            })
+            .collect();
         let up = self.fleet.machines.values().filter(|m| m.up()).count();
         serde_json::json!({
             "baton": self.baton,
@@ -83,6 +118,7 @@
             "target": self.target,
             "blindS": now.saturating_sub(self.fresh).as_secs_f64(),
             "lateOrStuck": jobs,
+            "gangsWaiting": gangs,
         })
     }
 }
--- a/crates/plankhead-core/src/ledger.rs
+++ b/crates/plankhead-core/src/ledger.rs
@@ -145,7 +145,7 @@
     }
 
     /// Whether every task of a gang has a durable placement, so that they may start.
-    fn complete(&self) -> bool {
+    pub fn complete(&self) -> bool {
         self.placed == self.spec.tasks && self.chunks.values().all(|c| c.placing <= c.durable)
     }
 
--- a/crates/plankhead-core/tests/world/gang.rs
+++ b/crates/plankhead-core/tests/world/gang.rs
@@ -31,6 +31,20 @@
         found
     }
 
+    /// The leader tells tasks to run: of a gang, no task before all are durably placed.
+    pub(super) fn gang_sent(&mut self, baton: u64, orders: &[Order]) {
+        for order in orders {
+            let Order::Run { task, attempt } = order else { continue };
+            let job = &mut self.jobs[self.by_id[&task.job]];
+            if !job.spec.gang || *attempt <= job.told_run || baton != self.led.0 {
+                continue;
+            }
+            job.told_run = *attempt;
+            let placed = self.kv.placed(job.id.as_str(), *attempt);
+            assert_eq!(placed, job.spec.tasks, "some of a gang: {:?} is told to run", job.id);
+        }
+    }
+
     /// A task has its image: it waits, and the gang starts once nobody is missing.
     pub(super) fn gang_waits(&mut self, host: HostName, task: TaskId, attempt: u64, shift: u64) {
         let job = self.by_id[&task.job];
--- a/crates/plankhead-core/tests/world/kv.rs
+++ b/crates/plankhead-core/tests/world/kv.rs
@@ -43,6 +43,15 @@
         self.keys.get(key).map(|v| v.stamp)
     }
 
+    /// How many tasks of the job have a placement in this attempt.
+    pub fn placed(&self, id: &str, attempt: u64) -> u32 {
+        let prefix = format!("run/{id}/");
+        let rows = self.keys.iter().filter(|(k, _)| k.starts_with(&prefix));
+        let chunks = rows.map(|(_, v)| serde_json::from_str::<before::ChunkText>(&v.text).unwrap());
+        let placed = |t: &&(u32, u64, i32)| t.1 == attempt && t.2 >= 0;
+        chunks.map(|c| c.t.iter().filter(placed).count() as u32).sum()
+    }
+
     pub fn apply(&mut self, now: Duration, op: StateOp) -> Result<StateReply, CallError> {
         Ok(match op {
             StateOp::Get { key } => StateReply::Got(self.keys.get(&key).map(|v| Row {
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -289,6 +289,8 @@
     /// Of a gang: what is saved, in seconds, and the attempt that runs.
     progress: f64,
     run: Option<gang::Run>,
+    /// The latest attempt of which a task was told to run.
+    told_run: u64,
     /// When a question about it was last answered.
     heard: Duration,
     /// When it was accepted, and when its first task started.
@@ -506,6 +508,7 @@
                 runs,
                 progress: 0.0,
                 run: None,
+                told_run: 0,
                 heard: Duration::ZERO,
                 since: None,
                 began: None,
@@ -873,6 +876,9 @@
         }
         match effect {
             Effect::Answer { ask, answer } => {
+                if let Answer::Beat { baton, orders } = &answer {
+                    self.gang_sent(*baton, orders);
+                }
                 if let Some(asked) = self.asks.remove(&(node, boot, ask)) {
                     self.answered(asked, answer);
                 }
@@ -908,6 +914,7 @@
                 self.at(delay, Happening::CloudArrives { node, boot, call, op, answered });
             }
             Effect::Orders { call, address, baton, shift, orders } => {
+                self.gang_sent(baton, &orders);
                 let host: HostName = address.as_ref().trim_start_matches("at-").into();
                 let delay = self.between(1, 5);
                 self.at(delay, Happening::OrdersArrive { node, boot, call, host, baton, shift, orders });
