--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -299,6 +299,21 @@
     best
 }
 
+/// Busy machines with the image that open for a whole gang before its last fetch
+/// would end, and when.
+fn sooner_all(
+    slots: &[Slot],
+    work: &Work,
+    now: Duration,
+    all: &[usize],
+) -> Option<(Duration, Vec<(usize, u32)>)> {
+    let fetch = all.iter().map(|s| slots[*s].fetch(work)).max()?;
+    if fetch.is_zero() {
+        return None;
+    }
+    opens_all(slots, work, now, |slot| slot.images.contains(&work.image)).filter(|(at, _)| *at < now + fetch)
+}
+
 /// The least that any pending task takes of each resource.
 fn least(work: &[Work]) -> Resources {
     let all = Resources { cpus: f64::MAX, gpus: f64::MAX, ram: f64::MAX };
@@ -360,11 +375,23 @@
                 if begun > 0 && begun + all.len() > most {
                     return starts;
                 }
-                for s in &all {
-                    start(now, slots, &mut work[i], teams, *s);
-                    starts.push(Start { work: i, slot: *s, at: now });
+                match sooner_all(slots, &work[i], now, &all) {
+                    Some((at, holds)) => {
+                        let at = at.max(now + SOON);
+                        for s in holds.into_iter().flat_map(|(s, many)| (0..many).map(move |_| s)) {
+                            starts.push(Start { work: i, slot: s, at });
+                            slots[s].run(Running::of(&work[i], at + work[i].estimate, true));
+                        }
+                        work[i].pending = 0;
+                    }
+                    None => {
+                        for s in &all {
+                            start(now, slots, &mut work[i], teams, *s);
+                            starts.push(Start { work: i, slot: *s, at: now });
+                        }
+                        begun += all.len();
+                    }
                 }
-                begun += all.len();
                 room.retain(|r| takes(&slots[*r]));
                 break;
             }
@@ -445,8 +472,21 @@
 /// Room for a whole gang from the first moment at which there is enough, in one zone
 /// where asked: neither small tasks nor other gangs keep it out for ever.
 fn reserve_all(slots: &[Slot], work: &Work, now: Duration) -> Option<Reservation> {
-    let fit = |i: &usize| suits(&slots[*i], work);
-    let mut best: Option<(Duration, Vec<(usize, Resources)>)> = None;
+    let (at, holds) = opens_all(slots, work, now, |_| true)?;
+    let holds = holds.into_iter().map(|(i, many)| (i, work.each.times(many))).collect();
+    Some(Reservation { holds, at, yields: None, by: None })
+}
+
+/// The first moment at which there is room for a whole gang on such machines, and
+/// how many of its tasks each of them takes.
+fn opens_all(
+    slots: &[Slot],
+    work: &Work,
+    now: Duration,
+    such: impl Fn(&Slot) -> bool,
+) -> Option<(Duration, Vec<(usize, u32)>)> {
+    let fit = |i: &usize| suits(&slots[*i], work) && such(&slots[*i]);
+    let mut best: Option<(Duration, Vec<(usize, u32)>)> = None;
     for zone in zones(slots, (0..slots.len()).filter(fit), work) {
         let here: Vec<usize> =
             (0..slots.len()).filter(fit).filter(|i| zone.is_none_or(|z| slots[*i].zone == z)).collect();
@@ -462,12 +502,12 @@
             best = holds_all(slots, &here, work, at).map(|holds| (at, holds));
         }
     }
-    best.map(|(at, holds)| Reservation { holds, at, yields: None, by: None })
+    best
 }
 
-/// What the gang would take of each of these machines at that time, the roomiest
-/// first.
-fn holds_all(slots: &[Slot], here: &[usize], work: &Work, at: Duration) -> Option<Vec<(usize, Resources)>> {
+/// How many tasks of the gang each of these machines would take at that time, the
+/// roomiest first.
+fn holds_all(slots: &[Slot], here: &[usize], work: &Work, at: Duration) -> Option<Vec<(usize, u32)>> {
     let mut left = work.clone();
     let most = left.pending;
     let mut order: Vec<(u32, usize)> =
@@ -482,7 +522,7 @@
             count += 1;
         }
         if count > 0 {
-            holds.push((i, work.each.times(count)));
+            holds.push((i, count));
         }
     }
     (left.pending == 0).then_some(holds)
--- a/crates/plankhead-core/tests/plain/mod.rs
+++ b/crates/plankhead-core/tests/plain/mod.rs
@@ -105,14 +105,15 @@
 }
 
 /// The first moment at which all of a gang finds room in some zone.
-fn keep_all(slots: &[Slot], work: &Work, now: Duration) -> Option<Held> {
+fn keep_all(slots: &[Slot], work: &Work, now: Duration, warm: bool) -> Option<Held> {
     let ends =
         slots.iter().flat_map(|s| s.running.iter().map(|t| t.end)).chain(slots.iter().map(|s| s.ready));
     let mut moments: Vec<Duration> = ends.map(|at| at.max(now)).collect();
     moments.sort();
     for at in moments {
         for zone in places(work) {
-            let suits = |s: &usize| slots[*s].ready <= at && suits(&slots[*s], work);
+            let image = |s: usize| !warm || slots[s].images.contains(&work.image);
+            let suits = |s: &usize| slots[*s].ready <= at && suits(&slots[*s], work) && image(*s);
             let many = |s: usize| {
                 let fits = |n: &u32| work.each.times(*n).fits(&free_at(&slots[s], at));
                 (1..=work.pending).filter(fits).max().unwrap_or(0)
@@ -166,7 +167,7 @@
             let young = now <= w.accepted + Duration::from_secs(150);
             let breakable = young.then_some(w.urgency);
             if w.gang {
-                let held = keep_all(slots, w, now)?;
+                let held = keep_all(slots, w, now, false)?;
                 return Some(Held { breakable, owner: Some(i), ..held });
             }
             let all = slots.iter().enumerate().filter(|(_, s)| suits(s, w));
@@ -204,9 +205,21 @@
                 let all = all.or_else(|| may_break.then(|| together(slots, &work[i], now, None)).flatten());
                 let Some(all) = all else {
                     open[i] = false;
-                    held = held.or_else(|| keep_all(slots, &work[i], now));
+                    held = held.or_else(|| keep_all(slots, &work[i], now, false));
                     break;
                 };
+                let cold = all.iter().map(|s| fetch(&slots[*s], &work[i])).max().unwrap();
+                if let Some(warm) = keep_all(slots, &work[i], now, true).filter(|h| h.at < now + cold) {
+                    let at = warm.at.max(now + Duration::from_millis(1));
+                    for (s, kept) in warm.holds {
+                        for _ in 0..(kept.cpus / work[i].each.cpus).round() as u32 {
+                            starts.push(Start { work: i, slot: s, at });
+                            run(&mut slots[s], &work[i], at + work[i].estimate, true);
+                        }
+                    }
+                    work[i].pending = 0;
+                    break;
+                }
                 for s in all {
                     let end = now + fetch(&slots[s], &work[i]) + work[i].estimate;
                     run(&mut slots[s], &work[i], end, false);
