--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -71,7 +71,7 @@
             each: spec.each,
             image: self.image(spec),
             image_gb: spec.image_gb,
-            pools: self.places.allowed(spec),
+            pools: self.places.allowed(spec, true),
             one_zone: spec.one_zone,
             zone_most: if spec.scatter { spec.tasks.div_ceil(2) } else { u32::MAX },
             estimate: self.estimate(spec),
@@ -141,6 +141,9 @@
         let mut both: Vec<(JobId, Work)> = Vec::with_capacity(waiting.len());
         for (id, spec, team, need) in waiting {
             let mut work = self.all_of(&spec, team, needs[need].accepted);
+            if now.saturating_sub(work.accepted) > KEPT_PATIENCE {
+                work.pools = self.places.allowed(&spec, false);
+            }
             let Some(entry) = self.ledger.jobs.get(&id) else { continue };
             work.guaranteed = guaranteed[need];
             work.pending = entry.pending();
@@ -238,6 +241,27 @@
         slots
     }
 
+    /// Marks the ordinary machines that the last round found for jobs which must not
+    /// be on spot ones: others would fill them whenever spot machines are short.
+    fn keep_for_strict(&mut self, hosts: &[HostName], slots: &mut [Slot]) {
+        let strict = self.strict_hosts();
+        for (rig, size) in self.target.rigs.clone().into_iter().filter(|(_, size)| size.ordinary > 0) {
+            let mut ordinary: Vec<(bool, Duration, usize)> = Vec::new();
+            for (i, host) in hosts.iter().enumerate() {
+                let Some(machine) = self.fleet.machines.get(host) else { continue };
+                if machine.pool.rig == rig && !machine.pool.spot && machine.proven {
+                    ordinary.push((!strict.contains(host), machine.since, i));
+                }
+            }
+            ordinary.sort();
+            for (_, _, i) in ordinary.into_iter().take(size.ordinary as usize) {
+                if let Some(machine) = self.fleet.machines.get(&hosts[i]) {
+                    slots[i].pool = self.places.kept(&machine.pool);
+                }
+            }
+        }
+    }
+
     /// Starts what may start now. Several changes share a pass.
     pub(super) fn schedule(&mut self, now: Duration, out: &mut Out) {
         let mut teams = self.teams();
@@ -249,6 +273,7 @@
             self.raise(&work);
         }
         let (hosts, mut slots): (Vec<HostName>, Vec<Slot>) = self.slots(now).into_iter().unzip();
+        self.keep_for_strict(&hosts, &mut slots);
         let starts = easy::pass_up_to(now, &mut slots, &mut work, &mut teams, MOST_STARTS);
         // The rest has its turn after what else there is to do.
         let cut = starts.iter().filter(|s| s.at <= now).count() >= MOST_STARTS;
