--- a/crates/plankhead-core/src/job.rs
+++ b/crates/plankhead-core/src/job.rs
@@ -111,13 +111,6 @@
         self.ram += other.ram;
     }
 
-    /// How many such rooms it fills.
-    pub fn machines(&self, room: &Resources) -> u32 {
-        let of = |need: f64, have: f64| if need > 0.0 && have > 0.0 { need / have } else { 0.0 };
-        let most = of(self.cpus, room.cpus).max(of(self.gpus, room.gpus)).max(of(self.ram, room.ram));
-        most.ceil().min(1e6) as u32
-    }
-
     pub fn times(&self, count: u32) -> Resources {
         let count = f64::from(count);
         Resources { cpus: self.cpus * count, gpus: self.gpus * count, ram: self.ram * count }
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -16,7 +16,7 @@
 use crate::election;
 use crate::fleet::{Fleet, Heard, Leaving, Machine, Pool};
 use crate::job::{JobId, JobRecord, JobSpec, Phase, Resources, Urgency};
-use crate::ledger::{tasks_per_chunk, Attempt, Ended, Entry, Ledger};
+use crate::ledger::{tasks_per_chunk, Ended, Entry, Ledger};
 use crate::node::{Out, Purpose, Times};
 use crate::places::Places;
 use crate::protocol::{
@@ -65,9 +65,6 @@
 const STOPPING: Duration = Duration::from_millis(300);
 /// Tasks stopped for others in one pass at most.
 const MOST_STOPS: usize = 64;
-/// Work that may be on spot machines leaves ordinary ones that are kept for other
-/// work alone for this long.
-const KEPT_PATIENCE: Duration = Duration::from_secs(30);
 /// Time between looks for tasks to stop.
 const PREEMPT_PAUSE: Duration = Duration::from_millis(200);
 /// Time between passes: what changes meanwhile shares one.
@@ -286,9 +283,6 @@
         for rig in self.fleet.rigs.keys() {
             for pool in self.fleet.pools(rig) {
                 self.places.pool(&pool);
-                if !pool.spot {
-                    self.places.kept(&pool);
-                }
                 self.places.zone(&pool.zone);
             }
         }
--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -71,7 +71,7 @@
             each: spec.each,
             image: self.image(spec),
             image_gb: spec.image_gb,
-            pools: self.places.allowed(spec, true),
+            pools: self.places.allowed(spec),
             one_zone: spec.one_zone,
             zone_most: if spec.scatter { spec.tasks.div_ceil(2) } else { u32::MAX },
             estimate: self.estimate(spec),
@@ -141,9 +141,6 @@
         let mut both: Vec<(JobId, Work)> = Vec::with_capacity(waiting.len());
         for (id, spec, team, need) in waiting {
             let mut work = self.all_of(&spec, team, needs[need].accepted);
-            if now.saturating_sub(work.accepted) > KEPT_PATIENCE {
-                work.pools = self.places.allowed(&spec, false);
-            }
             let Some(entry) = self.ledger.jobs.get(&id) else { continue };
             work.guaranteed = guaranteed[need];
             work.pending = entry.pending();
@@ -241,27 +238,6 @@
         slots
     }
 
-    /// Marks the ordinary machines that the last round found for jobs which must not
-    /// be on spot ones: others would fill them whenever spot machines are short.
-    fn keep_for_strict(&mut self, hosts: &[HostName], slots: &mut [Slot]) {
-        let strict = self.strict_hosts();
-        for (rig, size) in self.target.rigs.clone().into_iter().filter(|(_, size)| size.ordinary > 0) {
-            let mut ordinary: Vec<(bool, Duration, usize)> = Vec::new();
-            for (i, host) in hosts.iter().enumerate() {
-                let Some(machine) = self.fleet.machines.get(host) else { continue };
-                if machine.pool.rig == rig && !machine.pool.spot && machine.proven {
-                    ordinary.push((!strict.contains(host), machine.since, i));
-                }
-            }
-            ordinary.sort();
-            for (_, _, i) in ordinary.into_iter().take(size.ordinary as usize) {
-                if let Some(machine) = self.fleet.machines.get(&hosts[i]) {
-                    slots[i].pool = self.places.kept(&machine.pool);
-                }
-            }
-        }
-    }
-
     /// Starts what may start now. Several changes share a pass.
     pub(super) fn schedule(&mut self, now: Duration, out: &mut Out) {
         let mut teams = self.teams();
@@ -273,7 +249,6 @@
             self.raise(&work);
         }
         let (hosts, mut slots): (Vec<HostName>, Vec<Slot>) = self.slots(now).into_iter().unzip();
-        self.keep_for_strict(&hosts, &mut slots);
         let starts = easy::pass_up_to(now, &mut slots, &mut work, &mut teams, MOST_STARTS);
         // The rest has its turn after what else there is to do.
         let cut = starts.iter().filter(|s| s.at <= now).count() >= MOST_STARTS;
@@ -355,9 +330,9 @@
                 let fit = |(place, slot): (usize, &Slot)| {
                     let suits = work[i].allows(slot.pool) && work[i].zone_admits(slot.zone);
                     let found = suits.then(|| lesser[place].victims(&each, urgency)).flatten();
-                    found.map(|(loss, count)| (loss, place, count))
+                    found.map(|(gang, loss, count)| (gang, loss, place, count))
                 };
-                let Some((_, place, count)) = slots.iter().enumerate().filter_map(fit).min() else { break };
+                let Some((_, _, place, count)) = slots.iter().enumerate().filter_map(fit).min() else { break };
                 let victims: Vec<Victim> = lesser[place].tasks.drain(..count).collect();
                 for victim in victims {
                     lesser[place].room.add(&victim.each);
@@ -442,19 +417,20 @@
         });
     }
 
-    /// How many of the tasks would have to stop for one more, and the progress
-    /// lost.
-    fn victims(&self, each: &Resources, urgency: Urgency) -> Option<(Duration, usize)> {
+    /// How many of the tasks would have to stop for one more, the progress lost, and
+    /// first of all whether a gang would have to.
+    fn victims(&self, each: &Resources, urgency: Urgency) -> Option<(bool, Duration, usize)> {
         let mut room = self.room;
-        let mut loss = Duration::ZERO;
+        let (mut gang, mut loss) = (false, Duration::ZERO);
         let mut count = 0;
         let mut tasks = self.tasks.iter().take_while(|v| v.urgency < urgency);
         while !each.fits(&room) {
             let victim = tasks.next()?;
             room.add(&victim.each);
+            gang |= victim.gang;
             loss += victim.ran;
             count += 1;
         }
-        Some((loss, count))
+        Some((gang, loss, count))
     }
 }
--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -218,20 +218,11 @@
         for slot in &mut held {
             slot.ready = now;
         }
-        let busy = match strict {
-            true => self.strict_machines(rig),
-            false => held.iter().filter(|s| !s.running.is_empty()).count() as u32,
-        };
+        let busy = if strict { 0 } else { held.iter().filter(|s| !s.running.is_empty()).count() as u32 };
         let total = Resources { cpus: kind.cpus, gpus: kind.gpus, ram: kind.ram };
         let widest = work.iter().map(|w| width(w, &total, kind.zones.len())).max();
         let least = busy.max(widest.unwrap_or(0));
-        let (mut most, mut beyond) = self.capacity(rig, now);
-        if strict {
-            // No more than hold all of them at once: half the way to the limit of the
-            // whole fleet would be a hundred machines for a few gangs.
-            let all = self.strict_demand(&work, &expected).machines(&total).max(least);
-            (most, beyond) = (most.min(all), beyond.min(all));
-        }
+        let (most, beyond) = self.capacity(rig, now);
         let climb = Climb::new(least, most, beyond, self.settings.sizing.threshold);
         let fresh = ordinary
             .into_iter()
@@ -253,34 +244,6 @@
         Some(Trial { rig: rig.into(), strict, climb, backlog })
     }
 
-    fn strict_tasks(&self) -> impl Iterator<Item = (&Entry, &Attempt)> {
-        let strict = |e: &&Entry| !e.spec.spot && e.placed > 0;
-        self.ledger.jobs.values().filter(strict).flat_map(|e| self.ledger.placements(e).map(move |a| (e, a)))
-    }
-
-    /// Machines of the type that run jobs which must not be on spot machines.
-    fn strict_machines(&self, rig: &str) -> u32 {
-        let ours = |h: &&HostName| self.fleet.machines.get(*h).is_some_and(|m| m.pool.rig == rig);
-        self.strict_hosts().iter().filter(ours).count() as u32
-    }
-
-    pub(super) fn strict_hosts(&self) -> BTreeSet<HostName> {
-        self.strict_tasks().map(|(_, a)| a.host.clone()).collect()
-    }
-
-    /// What such jobs would take if all that run, wait and are expected did so at the
-    /// same time.
-    fn strict_demand(&self, work: &[Work], expected: &[Arrival]) -> Resources {
-        let mut sum = Resources::default();
-        for (entry, _) in self.strict_tasks() {
-            sum.add(&entry.spec.each);
-        }
-        for w in work.iter().chain(expected.iter().map(|a| &a.work)) {
-            sum.add(&w.each.times(w.pending));
-        }
-        sum
-    }
-
     /// A job wider than the fleet raises it at once. An array's width is one
     /// task, so this is a job that no machine we have can hold; a gang's is all of
     /// it, in one zone where asked.
--- a/crates/plankhead-core/src/places.rs
+++ b/crates/plankhead-core/src/places.rs
@@ -11,8 +11,7 @@
 /// Pools, zones and images by number.
 #[derive(Debug, Default)]
 pub struct Places {
-    /// And whether its machines are kept for work that must not be on spot ones.
-    pools: Vec<(Pool, bool)>,
+    pools: Vec<Pool>,
     zones: Vec<Arc<str>>,
     images: HashMap<Arc<str>, u32>,
     /// Of each image, in GB.
@@ -21,17 +20,8 @@
 
 impl Places {
     pub fn pool(&mut self, pool: &Pool) -> usize {
-        self.number(pool, false)
-    }
-
-    /// The part of the pool that is kept for work which must not be on spot machines.
-    pub fn kept(&mut self, pool: &Pool) -> usize {
-        self.number(pool, true)
-    }
-
-    fn number(&mut self, pool: &Pool, kept: bool) -> usize {
-        self.pools.iter().position(|(p, k)| p == pool && *k == kept).unwrap_or_else(|| {
-            self.pools.push((pool.clone(), kept));
+        self.pools.iter().position(|p| p == pool).unwrap_or_else(|| {
+            self.pools.push(pool.clone());
             self.pools.len() - 1
         })
     }
@@ -69,12 +59,10 @@
         self.sizes.get(image as usize).copied().unwrap_or(0.0)
     }
 
-    /// By pool: whether the job may use it. `patient`: it leaves alone what is kept
-    /// for others.
-    pub fn allowed(&self, spec: &JobSpec, patient: bool) -> Vec<bool> {
-        let allows = |(pool, kept): &(Pool, bool)| {
+    /// By pool: whether the job may use it.
+    pub fn allowed(&self, spec: &JobSpec) -> Vec<bool> {
+        let allows = |pool: &Pool| {
             (spec.spot || !pool.spot)
-                && !(*kept && spec.spot && patient)
                 && spec.rigs.as_ref().is_none_or(|rigs| rigs.contains(&pool.rig))
                 && spec.zone.as_ref().is_none_or(|z| *z == pool.zone)
         };
