--- a/crates/plankhead-core/src/leader/placing.rs
+++ b/crates/plankhead-core/src/leader/placing.rs
@@ -326,29 +326,40 @@
         for i in order {
             let (each, urgency) = (work[i].each, work[i].urgency);
             let mut left = late[i].0;
-            while left > 0 && teams[work[i].team].admits(&each) && stops < MOST_STOPS {
+            let (mut chosen, before) = (Vec::new(), work[i].gang.then(|| lesser.clone()));
+            while left > 0 && teams[work[i].team].admits(&each) && stops + chosen.len() < MOST_STOPS {
                 let fit = |(place, slot): (usize, &Slot)| {
                     let suits = work[i].allows(slot.pool) && work[i].zone_admits(slot.zone);
                     let found = suits.then(|| lesser[place].victims(&each, urgency)).flatten();
                     found.map(|(gang, loss, count)| (gang, loss, place, count))
                 };
-                let Some((_, _, place, count)) = slots.iter().enumerate().filter_map(fit).min() else { break };
+                let Some((_, _, place, count)) = slots.iter().enumerate().filter_map(fit).min() else {
+                    break;
+                };
                 let victims: Vec<Victim> = lesser[place].tasks.drain(..count).collect();
                 for victim in victims {
                     lesser[place].room.add(&victim.each);
-                    self.ledger.stop(&victim.task);
-                    told.insert(hosts[place].clone());
-                    stops += 1;
                     if victim.gang {
                         // The others end with it and make room where they are.
                         lesser.iter_mut().for_each(|l| l.without(&victim.task.job));
                     }
+                    chosen.push((place, victim.task));
                 }
                 lesser[place].room.sub(&each);
                 teams[work[i].team].used.add(&each);
                 work[i].joined(slots[place].zone);
                 left -= 1;
             }
+            // Room for some of a gang is of no use: nothing is stopped for it then.
+            if let Some(before) = before.filter(|_| left > 0) {
+                lesser = before;
+                continue;
+            }
+            stops += chosen.len();
+            for (place, task) in chosen {
+                self.ledger.stop(&task);
+                told.insert(hosts[place].clone());
+            }
         }
         told.append(&mut self.ledger.urgent);
         for host in told {
@@ -387,7 +398,7 @@
 }
 
 /// A task that may be stopped for a more urgent one.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Victim {
     ran: Duration,
     task: TaskId,
@@ -398,7 +409,7 @@
 
 /// The tasks of a machine that may be stopped, the least urgent first, and the
 /// room beside them.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Lesser {
     room: Resources,
     tasks: Vec<Victim>,
