--- a/crates/plankhead-core/tests/scheduling.rs
+++ b/crates/plankhead-core/tests/scheduling.rs
@@ -170,7 +170,7 @@
         w.image = rng.random_range(0..4);
         w.guaranteed = rng.random_range(0..2) == 0;
         w.urgency = if rng.random_range(0..3) == 0 { Urgency::Urgent } else { Urgency::Standard };
-        w.due = NOW + secs(rng.random_range(0..3) * if i % 3 == 0 { 9 } else { 1 });
+        w.due = NOW + secs(rng.random_range(0..3) * [9, 1, 1][i % 3]);
         w.accepted = NOW - secs(rng.random_range(0..200));
         w.again_by = if rng.random_range(0..3) == 0 { NOW - secs(1) } else { NOW };
         w.begun = rng.random_range(0..2) == 0;
