--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -302,6 +302,38 @@
     }
 }
 
+/// A gang of three whole machines in one zone raises a fleet that is too small for it
+/// at once, there, and no later round takes that apart before it has run; meanwhile
+/// small tasks that keep coming don't keep it out.
+#[test]
+fn a_wide_gang_gets_its_machines_in_one_zone() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, Troubles { crashes: 2, ..Troubles::default() });
+        world.capacity = 2;
+        world.plan(90, secs(1));
+        for (n, job) in world.jobs.iter_mut().enumerate() {
+            let wide = n == 0;
+            job.spec.gang = wide;
+            job.spec.one_zone = wide;
+            job.spec.team = if wide { "b".into() } else { "a".into() };
+            job.spec.urgency = Urgency::Standard;
+            job.spec.tasks = if wide { 3 } else { 1 };
+            job.spec.each.cpus = if wide { 8.0 } else { 2.0 };
+            (job.spec.spot, job.spec.zone, job.spec.scatter) = (true, None, false);
+            (job.spec.estimate, job.runs) = (8.0, 8.0);
+        }
+        world.arrive(0, secs(20));
+        for job in 1..90 {
+            world.arrive(job, Duration::from_millis(job as u64 * 1500));
+        }
+        world.run(secs(1500));
+        assert!(world.settled(), "seed {seed}");
+        let wide = &world.jobs[0];
+        let (since, began) = (wide.since.unwrap(), wide.began.unwrap());
+        assert!(began <= since + secs(75), "seed {seed}: began after {:?}", began - since);
+    }
+}
+
 /// Urgent tasks of half a machine that keep coming must not keep tasks of a
 /// whole one out for ever: these begin within four minutes.
 #[test]
