--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -361,3 +361,109 @@
     fleet.refused(&pool(false), NOW);
     assert_eq!(fleet.learned("r", NOW), Some(2));
 }
+
+/// A gang of three on machines i-1, i-2 and i-3, durable and offered.
+fn gang() -> Ledger {
+    let mut ledger = Ledger::default();
+    let mut record = record(Phase::Live, 3);
+    if let Some(spec) = &mut record.spec {
+        (spec.gang, spec.tasks) = (true, 3);
+    }
+    ledger.upsert(&id(), record, 5, NOW, None, 4);
+    place_gang(&mut ledger);
+    ledger
+}
+
+fn place_gang(ledger: &mut Ledger) {
+    for host in ["i-1", "i-2", "i-3"] {
+        let task = ledger.place(&id(), &host.into(), 3, &"z".into(), NOW).unwrap();
+        assert!(!ledger.written(&task), "not all are placed and durable");
+    }
+    commit(ledger);
+    for index in 0..3 {
+        let task = TaskId { job: id(), index };
+        assert!(ledger.written(&task));
+        ledger.attempt_mut(&task).unwrap().offered = true;
+    }
+}
+
+fn from(host: &str, tick: u64, tasks: &[(u32, u64, Seen)]) -> Report {
+    Report { host: host.into(), ..report(3, tick, tasks) }
+}
+
+/// Once a task is gone the others are told to end at once, and none is placed again
+/// before all are proven gone; then all have the next number.
+#[test]
+fn a_gang_that_lost_a_task_ends_as_a_whole() {
+    let mut ledger = gang();
+    for (index, host) in ["i-1", "i-2", "i-3"].into_iter().enumerate() {
+        ledger.observe(&from(host, 1, &[(index as u32, 1, Seen::Waiting)]), true, NOW);
+    }
+    assert!(ledger.urgent.is_empty());
+    ledger.host_gone("i-2", NOW);
+    let told: Vec<&str> = ledger.urgent.iter().map(|h| h.as_ref()).collect();
+    assert_eq!(told, ["i-1", "i-3"]);
+    let stopped = |l: &Ledger, index| l.attempt(&TaskId { job: id(), index }).map(|a| a.stop);
+    assert_eq!(
+        (stopped(&ledger, 0), stopped(&ledger, 1), stopped(&ledger, 2)),
+        (Some(true), None, Some(true))
+    );
+    ledger.observe(&from("i-1", 2, &[(0, 1, Seen::Ended(Cause::Stopped))]), true, NOW);
+    assert!(!ledger.jobs[&id()].placeable());
+    assert_eq!(ledger.place(&id(), &"i-4".into(), 1, &"z".into(), NOW), None, "one is left on i-3");
+    // What the task says by itself is no worse than what it was told.
+    ledger.observe(&from("i-3", 2, &[(2, 1, Seen::Ended(Cause::MatesGone))]), true, NOW);
+    assert!(ledger.jobs[&id()].placeable());
+    place_gang(&mut ledger);
+    let number = |index| ledger.attempt(&TaskId { job: id(), index }).unwrap().number;
+    assert_eq!([number(0), number(1), number(2)], [2, 2, 2]);
+}
+
+/// One task that is done is all of them; but none is gone before it has said so.
+#[test]
+fn one_done_task_of_a_gang_is_all() {
+    let mut ledger = gang();
+    ledger.observe(&from("i-2", 1, &[(1, 1, Seen::Ended(Cause::Done))]), true, NOW);
+    assert!(ledger.closing.contains(&id()));
+    assert_eq!((ledger.jobs[&id()].done, placed(&ledger)), (3, 2));
+    assert!(ledger.finished(&id()) && !ledger.finished(&id()));
+    assert_eq!((ledger.jobs[&id()].phase, placed(&ledger)), (Phase::Done, 2));
+    ledger.host_gone("i-1", NOW);
+    ledger.observe(&from("i-3", 1, &[(2, 1, Seen::Ended(Cause::Done))]), true, NOW);
+    assert_eq!((ledger.jobs[&id()].done, placed(&ledger)), (3, 0));
+}
+
+/// A new leader finds one task of the attempt ended: the rest is not to go on. What
+/// the earlier one placed and a report with the own token does not list is gone.
+#[test]
+fn a_new_leader_ends_a_torn_gang() {
+    let mut ledger = gang();
+    ledger.observe(&from("i-1", 1, &[(0, 1, Seen::Ended(Cause::Error))]), true, NOW);
+    let (text, _) = ledger.encode(&id(), 0).unwrap();
+    let mut next = gang();
+    next.remove(&id());
+    let mut record = record(Phase::Live, 3);
+    if let Some(spec) = &mut record.spec {
+        (spec.gang, spec.tasks) = (true, 3);
+    }
+    next.upsert(&id(), record, 5, NOW, None, 4);
+    next.load_chunk(&id(), 0, &text, 7, NOW).unwrap();
+    next.loaded();
+    assert!(next.jobs[&id()].broken());
+    next.observe(&from("i-2", 2, &[]), false, NOW);
+    assert_eq!(placed(&next), 2, "without the own token it may come yet");
+    next.observe(&from("i-2", 3, &[]), true, NOW);
+    next.observe(&from("i-3", 2, &[(2, 1, Seen::Ended(Cause::MatesGone))]), true, NOW);
+    assert!(next.jobs[&id()].placeable());
+}
+
+/// Whoever saves under a new leader has the others told with time to save, too.
+#[test]
+fn a_new_leader_finishes_an_orderly_stop() {
+    let mut ledger = gang();
+    ledger.observe(&from("i-2", 1, &[(1, 1, Seen::Saving)]), true, NOW);
+    assert!(ledger.jobs[&id()].ending() && !ledger.jobs[&id()].broken());
+    assert_eq!(ledger.urgent.len(), 3);
+    ledger.observe(&from("i-2", 2, &[(1, 1, Seen::Ended(Cause::Stopped))]), true, NOW);
+    assert!(!ledger.jobs[&id()].broken(), "the others keep their time to save");
+}
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -472,14 +472,21 @@
         let span = span.as_millis() as u64;
         for n in 0..jobs {
             let gang = n % 4 == 2;
+            // Some gangs are wider than a chunk of placements.
+            let wide = n % 12 == 2;
             let many = if n % 9 == 0 && !gang { 120 } else { 6 };
+            let many = if wide { 22 } else { many };
             let tasks = self.rng.random_range(1..=many);
             let spec = JobSpec {
                 class: format!("c{}", n % 3),
                 team: if n % 2 == 0 { "a".into() } else { "b".into() },
                 urgency: if n % 3 == 0 { Urgency::Urgent } else { Urgency::Standard },
                 tasks,
-                each: Resources { cpus: [1.0, 2.0, 4.0][n % 3], gpus: 0.0, ram: 4.0 },
+                each: Resources {
+                    cpus: if wide { 1.0 } else { [1.0, 2.0, 4.0][n % 3] },
+                    gpus: 0.0,
+                    ram: 4.0,
+                },
                 image: format!("img-{}", n % 4),
                 image_gb: 1.0,
                 rigs: None,
