A pass looks at what is kept only where something is

Arrays paid for the counting that gangs need: every machine with room was counted for every task, though at most a few have anything kept on them.

--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -204,7 +204,10 @@
     let mut best: Option<(usize, (Duration, f64, f64))> = None;
     for i in room {
         let slot = &slots[*i];
-        if !work.each.fits(&slot.free) || !suits(slot, work) || spares(slot, *i, work, now, held, 1) == 0 {
+        // Most slots have nothing kept on them: arrays don't pay for what gangs need.
+        let kept = held.filter(|r| r.on(*i).is_some());
+        let hinders = || kept.is_some() && spares(slot, *i, work, now, kept, 1) == 0;
+        if !work.each.fits(&slot.free) || !suits(slot, work) || hinders() {
             continue;
         }
         let score = (slot.fetch(work), work.cost(slot.price, now), slot.free.cpus);
