--- a/crates/plankhead-core/src/desk.rs
+++ b/crates/plankhead-core/src/desk.rs
@@ -360,6 +360,10 @@
             Ok(StateReply::Committed { epoch }) => {
                 for create in batch {
                     for ask in create.asks {
+                        // It may have been cancelled while the answer was under way.
+                        if self.known(ask, &create.id, out) {
+                            continue;
+                        }
                         out.answer(
                             ask,
                             Answer::Job {
--- a/crates/plankhead-core/src/election.rs
+++ b/crates/plankhead-core/src/election.rs
@@ -32,7 +32,7 @@
     Watch,
     Grant,
     Claim { hold: u64 },
-    Touch { sent: Duration },
+    Touch { hold: u64, sent: Duration },
     Revoke,
 }
 
@@ -72,6 +72,11 @@
     touched: Duration,
     next_touch: Duration,
     touching: bool,
+    /// The last renewal of the grant failed.
+    shaken: bool,
+    /// The grant of a claim whose answer was lost: it alone may still win the key
+    /// without being asked again.
+    doubt: Option<u64>,
 }
 
 impl Election {
@@ -86,6 +91,8 @@
             touched: Duration::ZERO,
             next_touch: Duration::ZERO,
             touching: false,
+            shaken: false,
+            doubt: None,
         }
     }
 
@@ -101,11 +108,17 @@
         self.baton().is_some() && now.saturating_sub(self.touched) < LIFE
     }
 
+    /// Whether, beyond that, nothing says that the state service fails this node:
+    /// another may have the key soon and confirm what this one can't see.
+    pub fn steady(&self, now: Duration) -> bool {
+        self.firm(now) && !self.shaken
+    }
+
     pub fn tick(&mut self, now: Duration, out: &mut Out) {
         if let Stage::Leading { hold, .. } = self.stage {
             if !self.touching && now >= self.next_touch {
                 self.touching = true;
-                out.state(Purpose::Election(Step::Touch { sent: now }), StateOp::Touch { hold });
+                out.state(Purpose::Election(Step::Touch { hold, sent: now }), StateOp::Touch { hold });
             }
             return;
         }
@@ -130,8 +143,8 @@
         reply: Result<StateReply, CallError>,
         out: &mut Out,
     ) -> Verdict {
-        if let Step::Touch { sent } = step {
-            return self.touched(now, sent, reply);
+        if let Step::Touch { hold, sent } = step {
+            return self.touched(now, hold, sent, reply);
         }
         if step == Step::Revoke {
             return Verdict::None;
@@ -167,6 +180,11 @@
                 self.stage = Stage::Unknown;
             }
             // A lost claim may have been carried out: the key tells.
+            (Step::Claim { hold }, Err(CallError::Lost)) => {
+                self.doubt = Some(hold);
+                self.stage = Stage::Unknown;
+                self.not_before = now + PAUSE;
+            }
             _ => {
                 self.stage = Stage::Unknown;
                 self.not_before = now + PAUSE;
@@ -199,11 +217,12 @@
             return Verdict::None;
         };
         if holder.host == self.host {
-            if holder.boot == self.boot {
+            if self.doubt == Some(holder.hold) && holder.boot == self.boot {
                 return self.won(now, row.stamp, holder.hold);
             }
-            // An earlier life of this process held it; nobody is waiting for
-            // that grant any more.
+            // An earlier life of this process held it, or this one, which stepped
+            // down: its end of the grant was lost or comes late. To lead twice under
+            // one token would make commands of the first time look like own ones.
             out.state(Purpose::Election(Step::Revoke), StateOp::Revoke { hold: holder.hold });
         } else {
             self.foreman = Some((holder.host, row.stamp));
@@ -218,14 +237,24 @@
         self.touched = now;
         self.next_touch = now;
         self.touching = false;
+        self.shaken = false;
+        self.doubt = None;
         Verdict::Won { baton }
     }
 
-    fn touched(&mut self, now: Duration, sent: Duration, reply: Result<StateReply, CallError>) -> Verdict {
-        self.touching = false;
-        if self.baton().is_none() {
+    fn touched(
+        &mut self,
+        now: Duration,
+        renewed: u64,
+        sent: Duration,
+        reply: Result<StateReply, CallError>,
+    ) -> Verdict {
+        // One of an earlier term says nothing of this one.
+        if !matches!(self.stage, Stage::Leading { hold, .. } if hold == renewed) {
             return Verdict::None;
         }
+        self.touching = false;
+        self.shaken = reply.is_err();
         match reply {
             Ok(StateReply::Touched) => {
                 self.touched = self.touched.max(sent);
@@ -240,12 +269,17 @@
     /// Steps down of its own will, so that a node that hears the workers can
     /// lead.
     pub fn abdicate(&mut self, now: Duration, out: &mut Out) -> Verdict {
+        let verdict = self.resign(out);
+        self.not_before = now + ABSTAIN;
+        verdict
+    }
+
+    /// Gives the key up, if it is still there.
+    pub fn resign(&mut self, out: &mut Out) -> Verdict {
         if let Stage::Leading { hold, .. } = self.stage {
             out.state(Purpose::Election(Step::Revoke), StateOp::Revoke { hold });
         }
-        let verdict = self.lost();
-        self.not_before = now + ABSTAIN;
-        verdict
+        self.lost()
     }
 
     /// Steps down: the key is somebody else's, or will be.
--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -81,6 +81,8 @@
     pub report: Option<Report>,
     /// When it last reported, or when we began to wait for it.
     pub heard: Duration,
+    /// When a report came that was newer than all before, whatever its token.
+    pub news: Duration,
     /// When it last reached this node itself.
     pub direct: Duration,
     /// Its last report came through a sibling.
@@ -182,6 +184,7 @@
             newest: None,
             report: None,
             heard: now,
+            news: now,
             direct: now,
             relayed: false,
             notice: false,
@@ -261,6 +264,7 @@
             machine.heard = now;
         }
         machine.newest = Some((report.shift, report.tick));
+        machine.news = now;
         let pool = Pool { rig: report.rig.clone(), zone: report.zone.clone(), spot: report.spot };
         if machine.pool != pool {
             machine.pool = pool;
@@ -440,6 +444,20 @@
         judged
     }
 
+    /// Marks machines that have been silent for longer than their lease, if they are
+    /// the fewer: a leader that hears hardly anybody is cut off itself.
+    pub fn judge_blind(&mut self, now: Duration, silence: Duration) {
+        let there = |m: &Machine| m.leaving.is_none() && (m.newest.is_some() || m.was_up);
+        let silent = |m: &Machine| there(m) && now.saturating_sub(m.heard.max(m.news)) > silence;
+        let count = |which: &dyn Fn(&Machine) -> bool| self.machines.values().filter(|m| which(m)).count();
+        if count(&silent) * 2 > count(&there) {
+            return;
+        }
+        for machine in self.machines.values_mut().filter(|m| silent(m)) {
+            machine.leaving = Some(Leaving::Silent);
+        }
+    }
+
     /// Machines whose report is late and that may still be asked why.
     pub fn late(&self, now: Duration, gap: Duration) -> Vec<HostName> {
         let asks = |m: &&Machine| {
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -8,8 +8,11 @@
 const RELEASE: Duration = Duration::from_secs(3);
 
 impl Leader {
-    pub fn tick(&mut self, times: Times, firm: bool, desk: &mut Desk, out: &mut Out) {
-        let now = times.now;
+    pub fn tick(&mut self, times: Times, sight: Sight, desk: &mut Desk, out: &mut Out) {
+        let (now, firm) = (times.now, sight.firm);
+        if !sight.steady {
+            self.shaken = Some(now);
+        }
         if std::mem::take(&mut self.reached) || self.stage == Stage::Loading {
             self.contact = now;
         }
@@ -24,6 +27,11 @@
                 self.pressing = 0;
                 self.load(now, out);
             }
+            if now >= self.minded {
+                self.minded = now + MIND;
+                self.judge_blind(now, sight);
+                self.release(now, sight, out);
+            }
             self.list_hosts(now, out);
             return;
         }
@@ -62,14 +70,15 @@
             return;
         }
         self.minded = now + MIND;
-        self.mind_machines(now, firm, out);
+        self.mind_machines(now, sight, out);
         if sighted && self.surveyed {
             self.hire(now, out);
         }
         if firm {
-            self.give_back(now, out);
+            self.give_back(now);
             self.sweep(now, out);
         }
+        self.release(now, sight, out);
         self.list_hosts(now, out);
         self.tell_late(now, out);
     }
@@ -99,9 +108,28 @@
             && self.fleet.machines.values().filter(|m| m.up()).count() > 1
     }
 
-    fn mind_machines(&mut self, now: Duration, firm: bool, out: &mut Out) {
+    /// Whether the cloud has answered lately, so that what it is asked takes effect now
+    /// and not when some cut ends.
+    pub(super) fn cloud_near(&self, now: Duration) -> bool {
+        let lately = self.settings.list_lag.max(Duration::from_secs(3)) * 2 + Duration::from_secs(1);
+        self.cloud_heard.is_some_and(|at| now.saturating_sub(at) < lately)
+    }
+
+    /// Without the state service nobody knows what was cancelled last. A machine that
+    /// hangs keeps such a task beyond its lease, for as long as it hangs: it goes once
+    /// its lease has run out for certain, which has ended whatever was on it. Not
+    /// where somebody else may lead, or where it may be us who are cut off.
+    fn judge_blind(&mut self, now: Duration, sight: Sight) {
+        if sight.firm && self.stage == Stage::Ready || !sight.among_all || !self.cloud_near(now) {
+            return;
+        }
+        let silence = self.settings.lease + Duration::from_secs(1);
+        self.fleet.judge_blind(now, silence);
+    }
+
+    fn mind_machines(&mut self, now: Duration, sight: Sight, out: &mut Out) {
         let contact = self.in_contact(now);
-        if firm && contact {
+        if sight.firm && contact {
             if !std::mem::replace(&mut self.sound, true) {
                 self.fleet.forgive(now);
             }
@@ -112,11 +140,10 @@
             // cloud may be carried out when the cut ends: it would give back
             // a whole healthy fleet.
             self.sound = false;
+            self.judge_blind(now, sight);
         }
-        if !contact {
-            return;
-        }
-        // A cancelled task that is not proven gone takes its machine along.
+        // A cancelled task that is not proven gone takes its machine along, whoever
+        // else is silent: in an outage, or where all machines hang, too.
         let s = &self.settings;
         let due = s.cancel.saturating_sub(s.clock_off * 2);
         let grace = due.saturating_sub(Duration::from_secs(7));
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -50,8 +50,9 @@
 const MOST_ORDERS: usize = 300;
 /// Time a saving task is given at the most.
 const MOST_LEEWAY: Duration = Duration::from_secs(10);
-/// While a new leader reads, it keeps the workers' leases for this long.
-const LOAD_PATIENCE: Duration = Duration::from_secs(6);
+/// What answers of a leader without sight end sooner than leases and cancellations
+/// ask for: for the drift of clocks and for what is under way.
+const BLIND_MARGIN: Duration = Duration::from_secs(2);
 /// No starts once the jobs were not seen afresh for this long.
 const STALE: Duration = Duration::from_secs(4);
 /// A worker that refused a task for room is left alone this long.
@@ -134,6 +135,17 @@
     pub ordinary: u32,
 }
 
+/// How well a leader sees what others do.
+#[derive(Debug, Clone, Copy)]
+pub struct Sight {
+    /// Its grant was renewed lately, so that its writes make sense.
+    pub firm: bool,
+    /// And the state service has not failed it since.
+    pub steady: bool,
+    /// It hears every sibling, and none of them leads.
+    pub among_all: bool,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     Loading,
@@ -155,6 +167,8 @@
     to_lay: bool,
     page_after: Option<String>,
     load_due: Option<Duration>,
+    /// Reading failed since it last succeeded.
+    load_failed: bool,
     /// The revision up to which the jobs are known; `fresh`: as of when.
     epoch: Option<u64>,
     fresh: Duration,
@@ -210,6 +224,10 @@
     contact: Duration,
     /// Whether silence of a machine could be blamed on the machine.
     sound: bool,
+    /// When the state service last failed this node, or was about to.
+    shaken: Option<Duration>,
+    /// When the cloud last answered.
+    cloud_heard: Option<Duration>,
     /// The jobs of the last interval: when each came, and what it was.
     arrivals: VecDeque<(Duration, Arc<JobSpec>)>,
     /// When the service's first job came; zero if that was before this leader.
@@ -229,6 +247,7 @@
             to_lay: false,
             page_after: None,
             load_due: None,
+            load_failed: false,
             epoch: None,
             fresh: now,
             following: false,
@@ -271,6 +290,8 @@
             reached: false,
             contact: now,
             sound: true,
+            shaken: None,
+            cloud_heard: None,
             arrivals: VecDeque::new(),
             opened: None,
             settings,
--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -374,9 +374,9 @@
         out.cloud(Purpose::Leader(self.baton, Deed::Hire { name, pool, count }), op);
     }
 
-    /// Returns machines above the target as they fall idle, and all that must
-    /// go for another reason.
-    pub(super) fn give_back(&mut self, now: Duration, out: &mut Out) {
+    /// Chooses the machines that go back: those above the target as they fall idle,
+    /// and empty ones that are about to be taken.
+    pub(super) fn give_back(&mut self, now: Duration) {
         for (rig, size) in self.target.rigs.clone() {
             let mut surplus = self.fleet.count(&rig).saturating_sub(size.machines);
             let mut idle: Vec<(bool, Duration, HostName)> = self
@@ -415,10 +415,23 @@
                 machine.leaving = Some(Leaving::Surplus);
             }
         }
-        if now < self.release_due {
+    }
+
+    /// Returns machines that are to go. A leader without its grant, who may be cut off
+    /// or not lead any more, returns only what a cancellation or its blindness forces
+    /// it to, and only while the cloud hears it.
+    pub(super) fn release(&mut self, now: Duration, sight: Sight, out: &mut Out) {
+        let free = sight.firm && self.stage == Stage::Ready;
+        if now < self.release_due || !(free || self.cloud_near(now)) {
             return;
         }
-        let leaving = self.fleet.machines.values().filter_map(|m| m.leaving.map(|why| (m.name.clone(), why)));
+        let may = |why: Leaving| match why {
+            Leaving::CancelDue => true,
+            Leaving::Silent => free || sight.among_all,
+            _ => free,
+        };
+        let machines = self.fleet.machines.values();
+        let leaving = machines.filter_map(|m| m.leaving.filter(|w| may(*w)).map(|why| (m.name.clone(), why)));
         let leaving: Vec<(HostName, Leaving)> =
             leaving.filter(|(host, _)| !self.releasing.contains(host)).take(MOST_RELEASED).collect();
         if !leaving.is_empty() && self.cloud.take(now, 1) {
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -28,7 +28,7 @@
                         }
                         self.epoch = self.epoch.max(Some(epoch));
                         self.fresh = self.fresh.max(sent);
-                        self.tell_kills(out);
+                        self.tell_kills(now, out);
                     }
                     Ok(StateReply::Compacted) => return false,
                     _ => self.follow_due = now + PAUSE,
@@ -109,7 +109,11 @@
                 }
                 for id in &batch.finals {
                     let tasks = self.ledger.jobs.get(id).map_or(0, |e| e.spec.tasks);
+                    // Only now: chunks that went before a final record that was lost
+                    // would have the next leader begin the job anew.
+                    let stored = self.ledger.jobs.get(id).map(|e| e.stored(id)).unwrap_or_default();
                     if self.ledger.finished(id) {
+                        self.garbage.extend(stored);
                         desk.over(id, Status::Done, tasks);
                         let record = JobRecord::last(Phase::Done, tasks);
                         self.archive.push_back((id.clone(), epoch, record));
@@ -157,6 +161,9 @@
         out: &mut Out,
     ) {
         let now = times.now;
+        if reply.is_ok() {
+            self.cloud_heard = Some(now);
+        }
         match (deed, reply) {
             (Deed::Hosts, Ok(CloudReply::Page { hosts, truncated })) => {
                 self.listing = false;
--- a/crates/plankhead-core/src/leader/takeover.rs
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -11,6 +11,16 @@
         self.state(Deed::ListJobs, StateOp::List { prefix: "job/".into(), after }, out);
     }
 
+    /// Whether it still reads what is known, and nothing says that it can't.
+    pub fn reads(&self) -> bool {
+        self.stage == Stage::Loading && !self.load_failed
+    }
+
+    fn load_failed(&mut self, now: Duration) {
+        self.load_due = Some(now + PAUSE);
+        self.load_failed = true;
+    }
+
     pub(super) fn list_chunks(&mut self, out: &mut Out) {
         let after = self.page_after.clone();
         self.state(Deed::ListChunks, StateOp::List { prefix: "run/".into(), after }, out);
@@ -24,8 +34,7 @@
         out: &mut Out,
     ) {
         let Ok(StateReply::Page { rows, truncated, epoch }) = reply else {
-            self.load_due = Some(times.now + PAUSE);
-            return;
+            return self.load_failed(times.now);
         };
         self.epoch.get_or_insert(epoch);
         self.page_after = rows.last().map(|r| r.key.clone());
@@ -46,8 +55,7 @@
         out: &mut Out,
     ) {
         let Ok(StateReply::Page { rows, truncated, .. }) = reply else {
-            self.load_due = Some(times.now + PAUSE);
-            return;
+            return self.load_failed(times.now);
         };
         self.page_after = rows.last().map(|r| r.key.clone());
         for row in rows {
@@ -79,8 +87,7 @@
         out: &mut Out,
     ) {
         let Ok(StateReply::Got(row)) = reply else {
-            self.load_due = Some(times.now + PAUSE);
-            return;
+            return self.load_failed(times.now);
         };
         let now = times.now;
         let rows = std::mem::take(&mut self.rows);
@@ -159,8 +166,12 @@
                 return;
             }
             Phase::Cancelled => desk.over(&id, Status::Cancelled, 0),
-            // An old event of a job that is over by now.
-            Phase::Live if desk.is_over(&id) => return,
+            // An old event of a job that is over by now. While reading, it is taken in
+            // all the same: a row that is older than a cancellation which this node
+            // has confirmed would leave the job's placements without an owner, so
+            // that neither its tasks were ended nor their room counted. Its end
+            // comes with the first events.
+            Phase::Live if self.stage == Stage::Ready && desk.is_over(&id) => return,
             Phase::Live => {}
         }
         let accepted = times.at_wall(record.accepted_ms);
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -5,14 +5,21 @@
 impl Leader {
     /// Whether workers may still be answered: their leases must run out before
     /// a cancellation that we could not see is due.
+    ///
+    /// A leader that still reads has no sight at all: the leader before may have
+    /// answered without any until just now, and so may others before that. A few such
+    /// takeovers in a row, each of which kept the leases for some seconds of its own,
+    /// would keep a cancelled task for longer than `cancel_s`.
     pub(super) fn may_answer(&self, now: Duration) -> bool {
         let s = &self.settings;
-        let blind = now.saturating_sub(self.fresh);
-        let bound = s.cancel.saturating_sub(s.lease + Duration::from_secs(2));
-        match self.stage {
-            Stage::Loading => now.saturating_sub(self.began) < LOAD_PATIENCE.min(bound),
-            Stage::Ready => blind < bound,
-        }
+        let bound = s.cancel.saturating_sub(s.lease + BLIND_MARGIN);
+        self.stage == Stage::Ready && now.saturating_sub(self.fresh) < bound
+    }
+
+    /// Whether starts may be sent: no cancellation is likely to have been confirmed
+    /// unseen. Where the state service has just failed this node, another may have.
+    pub(super) fn sighted(&self, now: Duration) -> bool {
+        now.saturating_sub(self.fresh) < STALE && self.shaken.is_none_or(|at| at < self.fresh)
     }
 
     /// Answers a report. `adrift`: neither the state service nor any sibling is
@@ -28,14 +35,13 @@
         let now = times.now;
         self.reached |= !relayed;
         if !self.may_answer(now) || self.fleet.is_gone(&report.host) {
+            // What it tells counts all the same, and that it is there.
+            self.hear(times, &report, false, out);
             return Answer::Unavailable { retry: Duration::from_secs(1) };
         }
         let host = report.host.clone();
         let heard = self.hear(times, &report, false, out);
-        let orders = match self.stage {
-            Stage::Loading => Vec::new(),
-            Stage::Ready => self.orders(now, &host, desk),
-        };
+        let orders = self.orders(now, &host, desk);
         let Some(machine) = self.fleet.machines.get_mut(&host).filter(|_| heard != Heard::Old) else {
             // A copy gets no orders, nor counts as heard.
             return Answer::Beat { baton: self.baton, orders: Vec::new() };
@@ -235,7 +241,7 @@
     /// once, the worker lists them as ended, and a late command has no effect.
     fn unheard(&self, now: Duration, machine: &Machine, report: &Report) -> Vec<Order> {
         let mut orders = Vec::new();
-        let sighted = now.saturating_sub(self.fresh) < STALE;
+        let sighted = self.sighted(now);
         for task in self.ledger.on_host(&machine.name).filter(|_| sighted) {
             let ending = |e: &&Entry| e.phase == Phase::Live && e.ending();
             let found = self.ledger.jobs.get(&task.job).filter(ending).and(self.ledger.attempt(task));
@@ -258,7 +264,7 @@
         now: Duration,
         machine: &'a Machine,
     ) -> impl Iterator<Item = (TaskId, u64)> + 'a {
-        let sighted = now.saturating_sub(self.fresh) < STALE;
+        let sighted = self.sighted(now);
         let shift = machine.shift();
         self.ledger.on_host(&machine.name).filter_map(move |task| {
             let attempt = self.ledger.attempt(task)?;
@@ -276,9 +282,6 @@
     /// Sends a machine what it should hear at once: starts, each once, and
     /// kills, each once. The answers to reports repeat what got lost.
     pub(super) fn tell(&mut self, now: Duration, host: &HostName, out: &mut Out) {
-        if !self.may_answer(now) {
-            return;
-        }
         let Some(machine) = self.fleet.machines.get(host) else { return };
         let Some(shift) = machine.shift() else { return };
         if machine.busy || machine.address.is_empty() || machine.leaving.is_some() {
@@ -338,7 +341,7 @@
     }
 
     /// Kills what was cancelled, without waiting for the workers' reports.
-    pub(super) fn tell_kills(&mut self, out: &mut Out) {
+    pub(super) fn tell_kills(&mut self, now: Duration, out: &mut Out) {
         let hosts: BTreeSet<HostName> = self
             .ledger
             .jobs
@@ -349,7 +352,7 @@
             .map(|a| a.host.clone())
             .collect();
         for host in hosts {
-            self.tell(self.fresh, &host, out);
+            self.tell(now, &host, out);
         }
     }
 }
--- a/crates/plankhead-core/src/leader/writing.rs
+++ b/crates/plankhead-core/src/leader/writing.rs
@@ -112,12 +112,10 @@
             let Ok(value) = serde_json::to_string(&record) else { continue };
             entry.finishing = true;
             let stamp = entry.stamp;
-            let keys = entry.stored(&id);
             txn.condition(Condition { key: id.key(), stamp });
             txn.bytes += value.len() + 200;
             txn.changes.push(Change::Write { key: id.key(), value, hold: None });
             txn.batch.finals.push(id.clone());
-            self.garbage.extend(keys);
         }
     }
 
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -5,7 +5,7 @@
 use crate::election::{self, Election, Verdict};
 use crate::gate::{self, Gate};
 use crate::job::JobId;
-use crate::leader::{Deed, Leader};
+use crate::leader::{Deed, Leader, Sight};
 use crate::protocol::{
     Answer, Ask, Call, CallError, CloudOp, CloudReply, Effect, Event, HostName, Level, Order, Progress,
     Pulse, Report, Rig, StateOp, StateReply,
@@ -37,6 +37,12 @@
 const SENT_LIFE: Duration = Duration::from_secs(15);
 const MOST_SENT: usize = 10_000;
 
+/// How long a report waits for a leader that still reads, its worker waiting for 4 s
+/// and a sibling that passed it on for 1.5 s; and how many do.
+const HOLD: Duration = Duration::from_millis(2500);
+const HOLD_RELAYED: Duration = Duration::from_secs(1);
+const MOST_HELD: usize = 4_096;
+
 /// What a call was for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Purpose {
@@ -119,6 +125,15 @@
     }
 }
 
+/// A report that waits until a new leader has read what is known.
+#[derive(Debug)]
+struct Held {
+    ask: Ask,
+    report: Report,
+    relayed: bool,
+    until: Duration,
+}
+
 #[derive(Debug)]
 pub struct Node {
     settings: Arc<Settings>,
@@ -136,6 +151,7 @@
     state_bad: Option<Duration>,
     /// Workers sent to a leader: under which token, and when.
     sent: HashMap<HostName, (u64, Duration)>,
+    held: Vec<Held>,
 }
 
 impl Node {
@@ -155,6 +171,7 @@
             siblings: HashMap::new(),
             state_bad: None,
             sent: HashMap::new(),
+            held: Vec::new(),
         }
     }
 
@@ -187,6 +204,10 @@
             Event::Poll { ask, id } => self.desk.poll(now, ask, id, &mut self.out),
             Event::Abort { ask, id } => self.desk.abort(now, ask, id, &mut self.out),
             Event::Beat { ask, report, relayed } => {
+                if self.leader.as_ref().is_some_and(Leader::reads) && self.held.len() < MOST_HELD {
+                    let until = times.now + if relayed { HOLD_RELAYED } else { HOLD };
+                    return self.held.push(Held { ask, report, relayed, until });
+                }
                 let answer = self.beat(times, report, relayed);
                 self.out.answer(ask, answer);
             }
@@ -222,7 +243,7 @@
                     Some(Purpose::Leader(baton, deed)) => {
                         if let Some(leader) = self.leader.as_mut().filter(|l| l.baton == baton) {
                             if !leader.state_reply(times, deed, reply, &mut self.desk, &mut self.out) {
-                                let verdict = self.election.lost();
+                                let verdict = self.election.resign(&mut self.out);
                                 self.verdict(times, verdict);
                             }
                         }
@@ -327,11 +348,33 @@
         Answer::Elsewhere { foreman: Some(foreman) }
     }
 
+    /// Answers the reports that waited for the leader to read, once it has or has
+    /// failed to.
+    fn release_held(&mut self, times: Times) {
+        let reads = self.leader.as_ref().is_some_and(Leader::reads);
+        let (due, held): (Vec<Held>, Vec<Held>) =
+            std::mem::take(&mut self.held).into_iter().partition(|h| !reads || times.now >= h.until);
+        self.held = held;
+        for Held { ask, report, relayed, .. } in due {
+            let answer = self.beat(times, report, relayed);
+            self.out.answer(ask, answer);
+        }
+    }
+
     /// Whether a sibling was heard lately.
     fn company(&self, now: Duration) -> bool {
         self.siblings.values().any(|(at, _)| now.saturating_sub(*at) < PULSE_LIFE)
     }
 
+    /// Whether every sibling was heard lately, and none says that it leads.
+    fn among_all(&self, now: Duration) -> bool {
+        let there = |name: &String| {
+            let heard = self.siblings.get(name);
+            heard.is_some_and(|(at, pulse)| now.saturating_sub(*at) < PULSE_LIFE && pulse.baton == 0)
+        };
+        self.settings.siblings.iter().all(there)
+    }
+
     /// The node that leads, under no earlier token than `least`: by its key, or
     /// by its own word where the state service does not serve us.
     fn foreman(&self, now: Duration, least: u64) -> Option<(u64, String)> {
@@ -382,8 +425,16 @@
             self.out.cloud(Purpose::Catalog, CloudOp::Catalog);
         }
         self.desk.tick(times, &mut self.out);
+        let sight = Sight {
+            firm: self.election.firm(now),
+            steady: self.election.steady(now),
+            among_all: self.among_all(now),
+        };
         if let Some(leader) = &mut self.leader {
-            leader.tick(times, self.election.firm(now), &mut self.desk, &mut self.out);
+            leader.tick(times, sight, &mut self.desk, &mut self.out);
+        }
+        if !self.held.is_empty() {
+            self.release_held(times);
         }
         if self.company(now) && self.leader.as_ref().is_some_and(|l| l.isolated(now)) {
             self.out.log(Level::Info, "hears no worker and steps down".into());
