Starts of their own give way first when a process is behind; meetings in the model

A command of its own costs several times the answer that carries the same, and late reports brought inquiries on top.

Change: the driver measures how late timers fire; above 100 ms, starts go with the answers to reports only and nobody is asked why a report is late. Kills go at once as before.

--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -10,6 +10,7 @@
 impl Leader {
     pub fn tick(&mut self, times: Times, sight: Sight, desk: &mut Desk, out: &mut Out) {
         let (now, firm) = (times.now, sight.firm);
+        self.behind = sight.behind;
         if !sight.steady {
             self.shaken = Some(now);
         }
@@ -149,7 +150,9 @@
                 self.fleet.forgive(now);
             }
             self.dirty |= self.fleet.judge(now, &self.settings) > 0;
-            self.inquire(now, out);
+            if !self.behind {
+                self.inquire(now, out);
+            }
         } else {
             // A leader that is cut off hears nobody, and its requests to the
             // cloud may be carried out when the cut ends: it would give back
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -144,6 +144,8 @@
     pub steady: bool,
     /// It hears every sibling, and none of them leads.
     pub among_all: bool,
+    /// The process has no processor time left.
+    pub behind: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -226,6 +228,8 @@
     sound: bool,
     /// When the state service last failed this node, or was about to.
     shaken: Option<Duration>,
+    /// The process is behind: starts go with the answers to reports only.
+    behind: bool,
     /// When the cloud last answered.
     cloud_heard: Option<Duration>,
     /// The jobs of the last interval: when each came, and what it was.
@@ -291,6 +295,7 @@
             contact: now,
             sound: true,
             shaken: None,
+            behind: false,
             cloud_heard: None,
             arrivals: VecDeque::new(),
             opened: None,
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -293,7 +293,12 @@
             return;
         }
         let told = |t: &TaskId| self.ledger.attempt(t).is_some_and(|a| a.told);
-        let runs: Vec<(TaskId, u64)> = self.runs(now, machine).filter(|(t, _)| !told(t)).collect();
+        // A command of its own costs several times an answer, and the answer to the next
+        // report carries the same: what can wait for that gives way first.
+        let runs: Vec<(TaskId, u64)> = match self.behind {
+            true => Vec::new(),
+            false => self.runs(now, machine).filter(|(t, _)| !told(t)).collect(),
+        };
         let kills: Vec<(TaskId, u64)> = self
             .ledger
             .on_host(host)
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -43,6 +43,9 @@
 const HOLD_RELAYED: Duration = Duration::from_secs(1);
 const MOST_HELD: usize = 4_096;
 
+/// A process whose timers are later than this is behind.
+const BEHIND: Duration = Duration::from_millis(100);
+
 /// What a call was for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Purpose {
@@ -152,6 +155,8 @@
     /// Workers sent to a leader: under which token, and when.
     sent: HashMap<HostName, (u64, Duration)>,
     held: Vec<Held>,
+    /// How far the process is behind.
+    lag: Duration,
 }
 
 impl Node {
@@ -172,6 +177,7 @@
             state_bad: None,
             sent: HashMap::new(),
             held: Vec::new(),
+            lag: Duration::ZERO,
         }
     }
 
@@ -186,6 +192,12 @@
         !(refused && (better || alone))
     }
 
+    /// Tells how far the process is behind for want of processor time, so that what can
+    /// wait gives way.
+    pub fn lags(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
     pub fn step(&mut self, times: Times, batch: Vec<Event>) -> Vec<Effect> {
         for event in batch {
             self.handle(times, event);
@@ -429,6 +441,7 @@
             firm: self.election.firm(now),
             steady: self.election.steady(now),
             among_all: self.among_all(now),
+            behind: self.lag > BEHIND,
         };
         if let Some(leader) = &mut self.leader {
             leader.tick(times, sight, &mut self.desk, &mut self.out);
--- a/crates/plankhead-core/tests/meetings.rs
+++ b/crates/plankhead-core/tests/meetings.rs
@@ -422,6 +422,14 @@
     });
 }
 
+/// A process whose processor time is used up sends starts with the answers to reports
+/// alone; kills still go at once, and nothing is late by the rules for it.
+#[test]
+fn what_gives_way_when_the_process_is_behind() {
+    let troubles = Troubles { cancels: 3, hangs: 2, crashes: 2, ..Troubles::default() };
+    play("behind", SMALL, troubles, 8, |world, _| world.lag = ms(400));
+}
+
 /// Any two or three troubles together, with cancellations and close looks.
 #[test]
 fn any_troubles_together() {
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -443,11 +443,13 @@
     looked: Duration,
     log: bool,
     /// What is to happen at which moment, after how many more of them.
-    scripts: Vec<(Moment, u32, Vec<(Duration, Happening)>)>,
+    scripts: Vec<script::Script>,
     /// Copies of reports for the next leader.
     kept: Vec<Report>,
     /// Whether calls are lost, slow or held up only until the last trouble is over.
     pub clears: bool,
+    /// How far behind all nodes are.
+    pub lag: Duration,
     /// Until when no keys can be listed.
     unreadable: Duration,
     /// Until when a zone is cut off.
@@ -542,6 +544,7 @@
             zone_cut: BTreeMap::new(),
             unreadable: Duration::ZERO,
             clears: false,
+            lag: Duration::ZERO,
         };
         for node in 0..3 {
             world.at(ms(10 * node as u64), Happening::Start { node });
@@ -1036,6 +1039,7 @@
         let wall = SystemTime::UNIX_EPOCH + now;
         let Some((boot, core)) = &mut self.nodes[node] else { return };
         let boot = *boot;
+        core.lags(self.lag);
         let effects = core.step(Times { now, wall }, batch);
         for effect in effects {
             self.perform(node, boot, effect);
@@ -1128,6 +1132,8 @@
                 self.at(delay, Happening::CloudArrives { node, boot, call, op, answered });
             }
             Effect::Orders { call, address, baton, shift, orders } => {
+                let starts = orders.iter().any(|o| matches!(o, Order::Run { .. }));
+                assert!(!starts || self.lag.is_zero(), "a start of its own while behind");
                 self.sent(baton, &orders);
                 let host: HostName = address.as_ref().trim_start_matches("at-").into();
                 let held = self.troubles.held > 0.0 && self.chance(self.troubles.held);
--- a/crates/plankhead-core/tests/world/script.rs
+++ b/crates/plankhead-core/tests/world/script.rs
@@ -22,6 +22,9 @@
     Cancelled,
 }
 
+/// A moment, how many more of them until it counts, and what happens so long after.
+pub type Script = (Moment, u32, Vec<(Duration, Happening)>);
+
 /// What befalls the node that leads just then.
 #[derive(Debug, Clone, Copy)]
 pub enum Blow {
@@ -253,8 +256,8 @@
             let here = (0..spec.tasks).filter(|i| on.contains(&TaskId { job: job.id.clone(), index: *i }));
             let (placed, done) = (here.count() as u32, job.done.len() as u32);
             // Zones that other tasks of the job decide about are left out.
-            let free = !spec.gang && !(spec.one_zone && placed > 0) && !spec.scatter;
-            let needs = open && free && placed + done < spec.tasks;
+            let bound = spec.gang || spec.scatter || spec.one_zone && placed > 0;
+            let needs = open && !bound && placed + done < spec.tasks;
             let most = self.kind.cap - used.get(spec.team.as_str()).copied().unwrap_or_default();
             let fits = |(w, free): &(&Worker, f64)| {
                 spec.each.cpus <= *free
--- a/crates/plankhead/src/driver.rs
+++ b/crates/plankhead/src/driver.rs
@@ -10,7 +10,7 @@
 use plankhead_core::node::{Node, Times};
 use plankhead_core::protocol::{Answer, Ask, Effect, Event, Report};
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 use thiserror::Error;
@@ -24,6 +24,8 @@
 const MOST_BATCH: usize = 256;
 /// The core's clock runs at least this often.
 const TICK: Duration = Duration::from_millis(50);
+/// How often it is measured how late timers fire.
+const LAG_LOOK: Duration = Duration::from_millis(50);
 /// The core's clock starts here, so that times before the start exist.
 const EPOCH: Duration = Duration::from_secs(100 * 86_400);
 /// No request waits longer than this.
@@ -182,6 +184,25 @@
     TcpListener::bind(address).await.map_err(|e| RunError::Listen(address, e))
 }
 
+/// Measures how late timers fire, in milliseconds: what a process whose processor time
+/// is used up falls behind by.
+fn watch_lag() -> Arc<AtomicU64> {
+    let lag = Arc::new(AtomicU64::new(0));
+    let measured = lag.clone();
+    tokio::spawn(async move {
+        let mut mean = Duration::ZERO;
+        loop {
+            let before = Instant::now();
+            tokio::time::sleep(LAG_LOOK).await;
+            let late = before.elapsed().saturating_sub(LAG_LOOK);
+            // A peak counts at once, and is forgotten within some looks.
+            mean = late.max(mean * 3 / 4);
+            measured.store(mean.as_millis() as u64, Ordering::Relaxed);
+        }
+    });
+    lag
+}
+
 /// Runs a node until the process ends.
 pub async fn run(config: Config) -> Result<(), RunError> {
     let (queue, mut commands) = mpsc::channel(config.connections + MORE_COMMANDS);
@@ -202,6 +223,7 @@
         asks: HashMap::new(),
     };
     let mut node = Node::new(config.core);
+    let lag = watch_lag();
     let start = Instant::now();
     let mut last: Ask = 0;
     loop {
@@ -222,6 +244,7 @@
             }
             next = if batch.len() < MOST_BATCH { commands.try_recv().ok() } else { None };
         }
+        node.lags(Duration::from_millis(lag.load(Ordering::Relaxed)));
         let times = Times { now: EPOCH + start.elapsed(), wall: SystemTime::now() };
         for effect in node.step(times, batch) {
             outside.perform(effect);
