A copy that comes before the first report makes no machine deaf

Cause: a new leader that heard an old copy of an earlier session first took it for answered; the machine's own report, of a later session within 4.5 s, then looked like a lease that ran out although we had answered, and the machine went back with all its tasks. Change: only machines proven to be there are judged by what they were answered. Shown by node a_copy_before_the_first_report_makes_nobody_deaf, which fails without it.

--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -63,8 +63,13 @@
                 }
             }
         }
-        machine.answered = Some(now);
-        machine.asked = orders.iter().filter_map(Order::asked).collect();
+        // The first that a new leader hears of a machine may be an old copy, of an earlier
+        // session: its answer reaches nobody, and who then reports a later session or
+        // nothing of what was asked is not deaf for that.
+        if machine.proven {
+            machine.answered = Some(now);
+            machine.asked = orders.iter().filter_map(Order::asked).collect();
+        }
         Answer::Beat { baton: self.baton, orders }
     }
 
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -132,6 +132,21 @@
         Some(self.calls.remove(at))
     }
 
+    /// Time passes, in which the state service answers what keeps a leader.
+    fn lives(&mut self, time: Duration) {
+        for _ in 0..time.as_millis() / 50 {
+            self.pass(ms(50));
+            if let Some((call, _)) = self.taken(|op| matches!(op, StateOp::Touch { .. })) {
+                self.reply_to(call, Ok(StateReply::Touched));
+            }
+            if let Some((call, _)) = self.taken(|op| matches!(op, StateOp::Follow { .. })) {
+                let cancelled = record(Phase::Cancelled, START);
+                let events = vec![KeyEvent::Written(row("job/job-000001", &cancelled, 10))];
+                self.reply_to(call, Ok(StateReply::Events { epoch: 10, events }));
+            }
+        }
+    }
+
     fn reply_to(&mut self, call: Call, reply: Result<StateReply, CallError>) {
         self.step(vec![Event::State { call, reply }]);
     }
@@ -244,20 +259,28 @@
     bench.reply_to(page.0, Ok(StateReply::Page { rows, truncated: false, epoch: 9 }));
     bench.loads_placements();
     // Nothing is heard of the machine: it goes back in time.
-    for _ in 0..36 * 20 {
-        bench.pass(ms(50));
-        if let Some((call, _)) = bench.taken(|op| matches!(op, StateOp::Touch { .. })) {
-            bench.reply_to(call, Ok(StateReply::Touched));
-        }
-        if let Some((call, _)) = bench.taken(|op| matches!(op, StateOp::Follow { .. })) {
-            let events = vec![KeyEvent::Written(row("job/job-000001", &record(Phase::Cancelled, START), 10))];
-            bench.reply_to(call, Ok(StateReply::Events { epoch: 10, events }));
-        }
-    }
+    bench.lives(Duration::from_secs(36));
     let released = |e: &Effect| matches!(e, Effect::Cloud { op: CloudOp::Release { hosts }, .. } if hosts.iter().any(|h| &**h == "i-1"));
     assert!(bench.effects.iter().any(released), "the machine was not given back");
 }
 
+/// An old copy, of an earlier session, reaches a new leader before the machine itself does:
+/// that the copy's answer changed nothing does not make the machine deaf.
+#[test]
+fn a_copy_before_the_first_report_makes_nobody_deaf() {
+    let mut bench = Bench::new();
+    bench.wins(41);
+    bench.loads();
+    let mut copy = report(9, 7);
+    copy.shift = 2;
+    bench.ask(|ask| Event::Beat { ask, report: copy, relayed: false });
+    bench.lives(ms(900));
+    bench.beat(30, 7);
+    bench.lives(ms(900));
+    let released = |e: &Effect| matches!(e, Effect::Cloud { op: CloudOp::Release { .. }, .. });
+    assert!(!bench.effects.iter().any(released), "the machine was given back");
+}
+
 /// A node that gave the key up, and finds its own key still there, does not lead under the
 /// same token again: its earlier commands and hires would pass for new ones.
 #[test]
