What was on a machine given back while reading is over

Shown by node what_was_on_a_machine_given_back_while_reading_is_over, which fails without the change.

--- a/crates/plankhead-core/src/leader/takeover.rs
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -115,7 +115,13 @@
             machine.direct = machine.heard;
         }
         for host in self.ledger_hosts() {
-            self.fleet.expect(&host, now);
+            // Given back while this leader could not read: nobody would ever prove it
+            // gone again.
+            if self.fleet.is_gone(&host) {
+                self.ledger.host_gone(&host, now);
+            } else {
+                self.fleet.expect(&host, now);
+            }
         }
         self.stage = Stage::Ready;
         let reports: Vec<Report> = self.fleet.machines.values().filter_map(|m| m.report.clone()).collect();
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -281,6 +281,64 @@
     assert!(!bench.effects.iter().any(released), "the machine was given back");
 }
 
+/// A new leader that can't read gives a machine back that hangs, when its lease is out
+/// for certain; what it then reads of placements there is over.
+#[test]
+fn what_was_on_a_machine_given_back_while_reading_is_over() {
+    let mut bench = Bench::new();
+    bench.wins(41);
+    bench.reply(lists("job/"), Err(CallError::Refused));
+    bench.beat(1, 7);
+    let released = |e: &Effect| matches!(e, Effect::Cloud { op: CloudOp::Release { hosts }, .. } if hosts.iter().all(|h| &**h == "i-1"));
+    for tick in 0..30 {
+        // Two others go on reporting, a sibling is there and does not lead.
+        for host in ["i-2", "i-3"] {
+            let up = Report { host: host.into(), tasks: Vec::new(), ..report(tick, 7) };
+            bench.ask(|ask| Event::Beat { ask, report: up, relayed: false });
+        }
+        bench.step(vec![Event::Pulse(Pulse { host: "plank-1".into(), ..Pulse::default() })]);
+        bench.lives(ms(500));
+        for (call, _) in std::mem::take(&mut bench.calls) {
+            bench.reply_to(call, Err(CallError::Refused));
+        }
+        let asked = |e: &Effect| match e {
+            Effect::Cloud { call, op: CloudOp::List { .. } } => Some(*call),
+            _ => None,
+        };
+        let lists: Vec<Call> = bench.effects.iter().filter_map(asked).collect();
+        for call in lists {
+            let reply = Ok(CloudReply::Page { hosts: Vec::new(), truncated: false });
+            bench.step(vec![Event::Cloud { call, reply }]);
+        }
+        bench.effects.retain(|e| asked(e).is_none());
+    }
+    let call = bench.effects.iter().filter(|e| released(e)).find_map(|e| match e {
+        Effect::Cloud { call, .. } => Some(*call),
+        _ => None,
+    });
+    let call = call.unwrap();
+    bench.step(vec![Event::Cloud { call, reply: Ok(CloudReply::Released) }]);
+    // The state service is back.
+    let mut reads = None;
+    for _ in 0..40 {
+        bench.pass(ms(50));
+        reads = bench.taken(lists("job/"));
+        if reads.is_some() {
+            break;
+        }
+    }
+    let rows = vec![row("job/job-000001", &record(Phase::Live, START), 5)];
+    bench.reply_to(reads.unwrap().0, Ok(StateReply::Page { rows, truncated: false, epoch: 9 }));
+    bench.loads_placements();
+    bench.lives(Duration::from_secs(6));
+    // Its user has called it off meanwhile, so that nothing of it is kept.
+    let drops = |op: &StateOp| {
+        let gone = |c: &Change| matches!(c, Change::Drop { key } if key == "run/job-000001/0");
+        matches!(op, StateOp::Txn { changes, .. } if changes.iter().any(gone))
+    };
+    assert!(bench.taken(drops).is_some(), "the placement stays for ever");
+}
+
 /// A node that gave the key up, and finds its own key still there, does not lead under the
 /// same token again: its earlier commands and hires would pass for new ones.
 #[test]
