--- a/crates/plankhead-core/src/election.rs
+++ b/crates/plankhead-core/src/election.rs
@@ -1,5 +1,5 @@
 //! Who leads: the node that wrote the key `lead` under its grant. The revision
-//! of that write is the token, `baton`.
+//! of that write is the fencing token.
 
 use crate::node::{Out, Purpose};
 use crate::protocol::{CallError, Change, Condition, KeyEvent, Level, Row, StateOp, StateReply};
@@ -45,7 +45,7 @@
     /// Nobody holds it; we try to.
     Vacant,
     Leading {
-        baton: u64,
+        token: u64,
         hold: u64,
     },
 }
@@ -54,7 +54,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
     None,
-    Won { baton: u64 },
+    Won { token: u64 },
     Lost,
 }
 
@@ -97,16 +97,16 @@
         }
     }
 
-    pub fn baton(&self) -> Option<u64> {
+    pub fn token(&self) -> Option<u64> {
         match self.stage {
-            Stage::Leading { baton, .. } => Some(baton),
+            Stage::Leading { token, .. } => Some(token),
             _ => None,
         }
     }
 
     /// Whether the grant was renewed lately enough that writes make sense.
     pub fn firm(&self, now: Duration) -> bool {
-        self.baton().is_some() && now.saturating_sub(self.touched) < self.lease
+        self.token().is_some() && now.saturating_sub(self.touched) < self.lease
     }
 
     /// Whether, beyond that, nothing says that the state service fails this node:
@@ -240,15 +240,15 @@
         Verdict::None
     }
 
-    fn won(&mut self, now: Duration, baton: u64, hold: u64) -> Verdict {
-        self.stage = Stage::Leading { baton, hold };
+    fn won(&mut self, now: Duration, token: u64, hold: u64) -> Verdict {
+        self.stage = Stage::Leading { token, hold };
         self.foreman = None;
         self.touched = now;
         self.next_touch = now;
         self.touching = false;
         self.shaken = false;
         self.doubt = None;
-        Verdict::Won { baton }
+        Verdict::Won { token }
     }
 
     fn touched(
--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -129,7 +129,7 @@
     /// Direct commands in a row that got no answer.
     pub unanswered: u32,
     /// Direct `run` commands that may still be carried out, with their shift.
-    pub haunted: Vec<(TaskId, u64, u64)>,
+    pub unconfirmed_runs: Vec<(TaskId, u64, u64)>,
     /// When it was last without any task.
     pub idle_since: Option<Duration>,
 }
@@ -214,7 +214,7 @@
             sent_off: None,
             busy: false,
             unanswered: 0,
-            haunted: Vec::new(),
+            unconfirmed_runs: Vec::new(),
             idle_since: None,
         })
     }
@@ -247,7 +247,7 @@
         }
         let first = machine.newest.is_none();
         let alike =
-            |r: &Report| (r.shift, r.baton) == (report.shift, report.baton) && r.tasks == report.tasks;
+            |r: &Report| (r.shift, r.token) == (report.shift, report.token) && r.tasks == report.tasks;
         let same = machine.report.as_ref().is_some_and(alike);
         if machine.shift() != Some(report.shift) {
             // Its lease ran out although we answered: it does not hear us.
@@ -256,7 +256,7 @@
                 machine.leaving.get_or_insert(Leaving::Deaf);
             }
             // Orders of an earlier session are refused from now on.
-            machine.haunted.retain(|(_, _, shift)| *shift >= report.shift);
+            machine.unconfirmed_runs.retain(|(_, _, shift)| *shift >= report.shift);
             machine.images.clear();
             machine.asked.clear();
             machine.slot = None;
@@ -271,7 +271,7 @@
         }
         machine.asked.clear();
         machine.unanswered = 0;
-        machine.proven |= report.baton == own;
+        machine.proven |= report.token == own;
         // What carries another token may be a late copy: no sign of life.
         if machine.proven || first {
             machine.heard = now;
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -8,7 +8,7 @@
 const RELEASE: Duration = Duration::from_secs(3);
 
 impl Leader {
-    pub fn tick(&mut self, times: Times, sight: Sight, desk: &mut Desk, out: &mut Out) {
+    pub fn tick(&mut self, times: Times, sight: Sight, requests: &mut RequestHandler, out: &mut Out) {
         let (now, firm) = (times.now, sight.firm);
         self.behind = sight.behind;
         if !sight.steady {
@@ -39,7 +39,7 @@
         if let Some(epoch) = self.epoch.filter(|_| !self.following && now >= self.follow_due) {
             self.following = true;
             let op = StateOp::Follow { prefix: "job/".into(), after: epoch, wait: WATCH };
-            self.state(Deed::Follow { sent: now }, op, out);
+            self.state(LeaderCall::Follow { sent: now }, op, out);
         }
         let sighted = firm && now.saturating_sub(self.fresh) < STALE;
         // What could not be written yet could not start either: the next pass
@@ -63,7 +63,7 @@
             self.to_lay = self.ledger.lay_anew(tasks_per_chunk(self.settings.value_bytes));
         }
         if firm {
-            self.flush(now, desk, out);
+            self.flush(now, requests, out);
         }
         // Every report brings a step: what costs time with every machine or job
         // has a beat of its own.
@@ -116,7 +116,7 @@
             self.listing = true;
             self.hosts_due = now + self.settings.list_lag.max(Duration::from_secs(3));
             let after = self.list.last().map(|h| h.host.clone());
-            out.cloud(Purpose::Leader(self.baton, Deed::Hosts), CloudOp::List { after });
+            out.cloud(Purpose::Leader(self.token, LeaderCall::Hosts), CloudOp::List { after });
         }
     }
 
@@ -223,11 +223,11 @@
             let Some(machine) = self.fleet.machines.get_mut(&host) else { continue };
             let Some(shift) = machine.shift() else { continue };
             machine.busy = true;
-            let deed = Deed::Orders { host, shift, runs: Vec::new() };
+            let leader_call = LeaderCall::Orders { host, shift, runs: Vec::new() };
             out.orders(
-                Purpose::Leader(self.baton, deed),
+                Purpose::Leader(self.token, leader_call),
                 machine.address.clone(),
-                self.baton,
+                self.token,
                 shift,
                 Vec::new(),
             );
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -11,7 +11,6 @@
 mod writing;
 
 use crate::budget::Bucket;
-use crate::desk::Desk;
 use crate::easy::{self, Running, Slot};
 use crate::election;
 use crate::fleet::{Fleet, Heard, Leaving, Machine, Pool};
@@ -26,6 +25,7 @@
 };
 use crate::queue::{guaranteed, Need, TeamRoom, Work};
 use crate::replay::{Arrival, Replay};
+use crate::requests::RequestHandler;
 use crate::settings::{Settings, Team};
 use crate::sizing::Climb;
 use serde::{Deserialize, Serialize};
@@ -83,7 +83,7 @@
 
 /// What a leader's call is for.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Deed {
+pub enum LeaderCall {
     ListJobs,
     ListChunks,
     ReadTarget,
@@ -152,7 +152,7 @@
 #[derive(Debug)]
 pub struct Leader {
     settings: Arc<Settings>,
-    pub baton: u64,
+    pub token: u64,
     began: Duration,
     stage: Stage,
     pub ledger: Ledger,
@@ -237,9 +237,9 @@
 }
 
 impl Leader {
-    pub fn new(settings: Arc<Settings>, baton: u64, now: Duration) -> Self {
+    pub fn new(settings: Arc<Settings>, token: u64, now: Duration) -> Self {
         Self {
-            baton,
+            token,
             began: now,
             stage: Stage::Loading,
             ledger: Ledger::default(),
@@ -330,13 +330,13 @@
         }
     }
 
-    fn state(&self, deed: Deed, op: StateOp, out: &mut Out) {
-        out.state(Purpose::Leader(self.baton, deed), op);
+    fn state(&self, leader_call: LeaderCall, op: StateOp, out: &mut Out) {
+        out.state(Purpose::Leader(self.token, leader_call), op);
     }
 
     /// The condition under which alone the leader writes.
     fn lead(&self) -> Condition {
-        Condition { key: election::KEY.into(), stamp: self.baton }
+        Condition { key: election::KEY.into(), stamp: self.token }
     }
 }
 
--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -358,7 +358,7 @@
                 }
                 left -= count;
                 self.hires += 1;
-                let name = format!("{}-{}-{}", self.settings.host, self.baton, self.hires);
+                let name = format!("{}-{}-{}", self.settings.host, self.token, self.hires);
                 self.hiring.push((name.clone(), pool.clone(), count));
                 self.rent(name, pool, count, out);
             }
@@ -373,7 +373,7 @@
             spot: pool.spot,
             count,
         };
-        out.cloud(Purpose::Leader(self.baton, Deed::Hire { name, pool, count }), op);
+        out.cloud(Purpose::Leader(self.token, LeaderCall::Hire { name, pool, count }), op);
     }
 
     /// Chooses the machines that go back: those above the target as they fall idle,
@@ -442,8 +442,8 @@
             }
             let leaving: Vec<HostName> = leaving.into_iter().map(|(host, _)| host).collect();
             self.releasing.extend(leaving.iter().cloned());
-            let deed = Deed::Release(leaving.clone());
-            out.cloud(Purpose::Leader(self.baton, deed), CloudOp::Release { hosts: leaving });
+            let leader_call = LeaderCall::Release(leaving.clone());
+            out.cloud(Purpose::Leader(self.token, leader_call), CloudOp::Release { hosts: leaving });
         }
     }
 }
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -7,23 +7,23 @@
     pub fn state_reply(
         &mut self,
         times: Times,
-        deed: Deed,
+        leader_call: LeaderCall,
         reply: Result<StateReply, CallError>,
-        desk: &mut Desk,
+        requests: &mut RequestHandler,
         out: &mut Out,
     ) -> bool {
         let now = times.now;
-        match deed {
-            Deed::ListJobs => self.loaded_jobs(times, reply, desk, out),
-            Deed::ListChunks => self.loaded_chunks(times, reply, out),
-            Deed::ReadTarget => self.loaded_target(times, reply, out),
-            Deed::Follow { sent } => {
+        match leader_call {
+            LeaderCall::ListJobs => self.loaded_jobs(times, reply, requests, out),
+            LeaderCall::ListChunks => self.loaded_chunks(times, reply, out),
+            LeaderCall::ReadTarget => self.loaded_target(times, reply, out),
+            LeaderCall::Follow { sent } => {
                 self.following = false;
                 match reply {
                     Ok(StateReply::Events { epoch, events }) => {
                         for event in events {
                             if let KeyEvent::Written(row) = event {
-                                self.job_row(times, &row, desk);
+                                self.job_row(times, &row, requests);
                             }
                         }
                         self.epoch = self.epoch.max(Some(epoch));
@@ -34,8 +34,8 @@
                     _ => self.follow_due = now + PAUSE,
                 }
             }
-            Deed::Write(batch) => return self.written(times, batch, reply, desk, out),
-            Deed::ReadChunk(id, number) => {
+            LeaderCall::Write(batch) => return self.written(times, batch, reply, requests, out),
+            LeaderCall::ReadChunk(id, number) => {
                 self.reading.remove(&self.chunk_key(&id, number));
                 if let Ok(StateReply::Got(row)) = reply {
                     self.ledger.restamp(&id, number, row.map_or(0, |r| r.stamp));
@@ -43,10 +43,10 @@
                     self.hold_until = now + PAUSE;
                 }
             }
-            Deed::ReadJob(id) => {
+            LeaderCall::ReadJob(id) => {
                 self.reading.remove(&id.key());
                 match reply {
-                    Ok(StateReply::Got(Some(row))) => self.job_row(times, &row, desk),
+                    Ok(StateReply::Got(Some(row))) => self.job_row(times, &row, requests),
                     Ok(StateReply::Got(None)) => {
                         out.log(Level::Error, format!("the record of {id} is missing"));
                         self.hold_until = now + PAUSE;
@@ -54,7 +54,7 @@
                     _ => self.hold_until = now + PAUSE,
                 }
             }
-            Deed::Sweep(keys) => {
+            LeaderCall::Sweep(keys) => {
                 self.sweeping = false;
                 match reply {
                     Ok(StateReply::Committed { .. }) => {}
@@ -62,7 +62,7 @@
                     _ => self.garbage.extend(keys),
                 }
             }
-            Deed::Archive(finals) => {
+            LeaderCall::Archive(finals) => {
                 self.sweeping = false;
                 match reply {
                     Ok(StateReply::Committed { .. }) => {}
@@ -77,7 +77,7 @@
                     _ => self.archive.extend(finals),
                 }
             }
-            Deed::Target => {
+            LeaderCall::Target => {
                 self.target_writing = false;
                 match reply {
                     Ok(StateReply::Committed { .. }) => {}
@@ -95,7 +95,7 @@
         times: Times,
         batch: Batch,
         reply: Result<StateReply, CallError>,
-        desk: &mut Desk,
+        requests: &mut RequestHandler,
         out: &mut Out,
     ) -> bool {
         let now = times.now;
@@ -114,7 +114,7 @@
                     let stored = self.ledger.jobs.get(id).map(|e| e.stored(id)).unwrap_or_default();
                     if self.ledger.finished(id) {
                         self.garbage.extend(stored);
-                        desk.over(id, Status::Done, tasks);
+                        requests.over(id, Status::Done, tasks);
                         let record = JobRecord::last(Phase::Done, tasks);
                         self.archive.push_back((id.clone(), epoch, record));
                     }
@@ -156,7 +156,7 @@
     pub fn cloud_reply(
         &mut self,
         times: Times,
-        deed: Deed,
+        leader_call: LeaderCall,
         reply: Result<CloudReply, CallError>,
         out: &mut Out,
     ) {
@@ -164,8 +164,8 @@
         if reply.is_ok() {
             self.cloud_heard = Some(now);
         }
-        match (deed, reply) {
-            (Deed::Hosts, Ok(CloudReply::Page { hosts, truncated })) => {
+        match (leader_call, reply) {
+            (LeaderCall::Hosts, Ok(CloudReply::Page { hosts, truncated })) => {
                 self.listing = false;
                 self.list.extend(hosts);
                 if truncated {
@@ -176,24 +176,24 @@
                     self.surveyed = true;
                 }
             }
-            (Deed::Hosts, _) => {
+            (LeaderCall::Hosts, _) => {
                 self.listing = false;
                 self.list.clear();
             }
-            (Deed::Hire { name, pool, count }, Ok(CloudReply::Hired(hosts))) => {
+            (LeaderCall::Hire { name, pool, count }, Ok(CloudReply::Hired(hosts))) => {
                 self.hiring.retain(|(n, ..)| *n != name);
                 self.fleet.hired(&hosts, &pool, count, now);
             }
-            (Deed::Hire { name, pool, .. }, Ok(CloudReply::NoCapacity)) => {
+            (LeaderCall::Hire { name, pool, .. }, Ok(CloudReply::NoCapacity)) => {
                 self.hiring.retain(|(n, ..)| *n != name);
                 self.fleet.refused(&pool, now);
                 out.log(Level::Debug, format!("no capacity in {} (spot: {})", pool.zone, pool.spot));
             }
             // In doubt, the same name is used again: it rents once at most.
-            (Deed::Hire { name, pool, count }, _) => {
+            (LeaderCall::Hire { name, pool, count }, _) => {
                 self.retry_hires.push((now + PAUSE * 4, name, pool, count));
             }
-            (Deed::Release(hosts), Ok(CloudReply::Released)) => {
+            (LeaderCall::Release(hosts), Ok(CloudReply::Released)) => {
                 for host in hosts {
                     self.releasing.remove(&host);
                     self.fleet.released(&host);
@@ -205,7 +205,7 @@
                 self.tell_urgent(now, out);
                 self.dirty = true;
             }
-            (Deed::Release(hosts), _) => {
+            (LeaderCall::Release(hosts), _) => {
                 for host in hosts {
                     self.releasing.remove(&host);
                 }
@@ -215,15 +215,15 @@
         }
     }
 
-    pub fn orders_reply(&mut self, times: Times, deed: Deed, reply: OrdersReply, out: &mut Out) {
-        let Deed::Orders { host, shift, runs } = deed else { return };
+    pub fn orders_reply(&mut self, times: Times, leader_call: LeaderCall, reply: OrdersReply, out: &mut Out) {
+        let LeaderCall::Orders { host, shift, runs } = leader_call else { return };
         let Some(machine) = self.fleet.machines.get_mut(&host) else { return };
         machine.busy = false;
         if !matches!(reply, OrdersReply::Answered(_)) {
             machine.unanswered += 1;
         }
         if !matches!(reply, OrdersReply::Unanswered) {
-            machine.haunted.retain(|(t, n, s)| *s != shift || !runs.contains(&(t.clone(), *n)));
+            machine.unconfirmed_runs.retain(|(t, n, s)| *s != shift || !runs.contains(&(t.clone(), *n)));
         }
         if let OrdersReply::Answered(report) = reply {
             if report.host == host {
--- a/crates/plankhead-core/src/leader/takeover.rs
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -8,7 +8,7 @@
             self.fresh = now;
         }
         let after = self.page_after.clone();
-        self.state(Deed::ListJobs, StateOp::List { prefix: "job/".into(), after }, out);
+        self.state(LeaderCall::ListJobs, StateOp::List { prefix: "job/".into(), after }, out);
     }
 
     /// Whether it still reads what is known, and nothing says that it can't.
@@ -23,14 +23,14 @@
 
     pub(super) fn list_chunks(&mut self, out: &mut Out) {
         let after = self.page_after.clone();
-        self.state(Deed::ListChunks, StateOp::List { prefix: "run/".into(), after }, out);
+        self.state(LeaderCall::ListChunks, StateOp::List { prefix: "run/".into(), after }, out);
     }
 
     pub(super) fn loaded_jobs(
         &mut self,
         times: Times,
         reply: Result<StateReply, CallError>,
-        desk: &mut Desk,
+        requests: &mut RequestHandler,
         out: &mut Out,
     ) {
         let Ok(StateReply::Page { rows, truncated, epoch }) = reply else {
@@ -39,7 +39,7 @@
         self.epoch.get_or_insert(epoch);
         self.page_after = rows.last().map(|r| r.key.clone());
         for row in &rows {
-            self.job_row(times, row, desk);
+            self.job_row(times, row, requests);
         }
         if truncated {
             return self.load(times.now, out);
@@ -77,7 +77,7 @@
             return self.list_chunks(out);
         }
         self.page_after = None;
-        self.state(Deed::ReadTarget, StateOp::Get { key: TARGET.into() }, out);
+        self.state(LeaderCall::ReadTarget, StateOp::Get { key: TARGET.into() }, out);
     }
 
     pub(super) fn loaded_target(
@@ -155,12 +155,12 @@
     }
 
     /// Takes in a job's row from the state service.
-    pub fn job_row(&mut self, times: Times, row: &Row, desk: &mut Desk) {
+    pub fn job_row(&mut self, times: Times, row: &Row, requests: &mut RequestHandler) {
         let Some(id) = row.key.strip_prefix("job/").and_then(|id| JobId::parse(id).ok()) else { return };
         let Ok(record) = serde_json::from_str::<JobRecord>(&row.value) else { return };
         match record.phase {
             Phase::Done => {
-                desk.over(&id, Status::Done, record.tasks);
+                requests.over(&id, Status::Done, record.tasks);
                 let stored = self.ledger.jobs.get(&id).map(|e| e.stored(&id)).unwrap_or_default();
                 let news = self.ledger.finished(&id);
                 if self.stage == Stage::Loading || news {
@@ -171,13 +171,13 @@
                 }
                 return;
             }
-            Phase::Cancelled => desk.over(&id, Status::Cancelled, 0),
+            Phase::Cancelled => requests.over(&id, Status::Cancelled, 0),
             // An old event of a job that is over by now. While reading, it is taken in
             // all the same: a row that is older than a cancellation which this node
             // has confirmed would leave the job's placements without an owner, so
             // that neither its tasks were ended nor their room counted. Its end
             // comes with the first events.
-            Phase::Live if self.stage == Stage::Ready && desk.is_over(&id) => return,
+            Phase::Live if self.stage == Stage::Ready && requests.is_over(&id) => return,
             Phase::Live => {}
         }
         let accepted = times.at_wall(record.accepted_ms);
--- a/crates/plankhead-core/src/leader/view.rs
+++ b/crates/plankhead-core/src/leader/view.rs
@@ -111,7 +111,7 @@
             .collect();
         let up = self.fleet.machines.values().filter(|m| m.up()).count();
         serde_json::json!({
-            "baton": self.baton,
+            "token": self.token,
             "ready": self.stage == Stage::Ready,
             "jobs": self.ledger.jobs.len(),
             "machines": {"held": self.fleet.machines.len(), "up": up},
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -29,7 +29,7 @@
         times: Times,
         report: Report,
         (relayed, adrift): (bool, bool),
-        desk: &Desk,
+        requests: &RequestHandler,
         out: &mut Out,
     ) -> Answer {
         let now = times.now;
@@ -41,10 +41,10 @@
         }
         let host = report.host.clone();
         let heard = self.hear(times, &report, false, out);
-        let orders = self.orders(now, &host, desk);
+        let orders = self.orders(now, &host, requests);
         let Some(machine) = self.fleet.machines.get_mut(&host).filter(|_| heard != Heard::Old) else {
             // A copy gets no orders, nor counts as heard.
-            return Answer::Beat { baton: self.baton, orders: Vec::new() };
+            return Answer::Beat { token: self.token, orders: Vec::new() };
         };
         machine.relayed = relayed;
         if !relayed {
@@ -70,7 +70,7 @@
             machine.answered = Some(now);
             machine.asked = orders.iter().filter_map(Order::asked).collect();
         }
-        Answer::Beat { baton: self.baton, orders }
+        Answer::Beat { token: self.token, orders }
     }
 
     /// Takes in a report; `ours`: it answers a command of ours.
@@ -78,8 +78,8 @@
         let up = |fleet: &Fleet| fleet.machines.get(&report.host).is_some_and(Machine::up);
         let before = up(&self.fleet);
         let heard = match ours {
-            true => self.fleet.answered(report, self.baton, times.now),
-            false => self.fleet.observe(report, self.baton, times.now),
+            true => self.fleet.answered(report, self.token, times.now),
+            false => self.fleet.observe(report, self.token, times.now),
         };
         self.dirty |= up(&self.fleet) != before;
         if heard != Heard::Old && self.stage == Stage::Ready {
@@ -92,7 +92,7 @@
     pub(super) fn observe(&mut self, times: Times, report: &Report, heard: Heard, out: &mut Out) {
         let now = times.now;
         let (ended, lost) = match heard {
-            Heard::News => self.ledger.observe(report, report.baton == self.baton, now),
+            Heard::News => self.ledger.observe(report, report.token == self.token, now),
             _ => Default::default(),
         };
         if lost > 0 {
@@ -186,7 +186,7 @@
     }
 
     /// Orders for a machine, by its newest report.
-    pub(super) fn orders(&self, now: Duration, host: &HostName, desk: &Desk) -> Vec<Order> {
+    pub(super) fn orders(&self, now: Duration, host: &HostName, requests: &RequestHandler) -> Vec<Order> {
         let Some(machine) = self.fleet.machines.get(host) else { return Vec::new() };
         let Some(report) = &machine.report else { return Vec::new() };
         let mut orders = Vec::new();
@@ -194,12 +194,13 @@
             let attempt = *attempt;
             if matches!(seen, Seen::Ended(_)) {
                 // A direct `run` under way would start a forgotten attempt anew.
-                let haunted = machine.haunted.iter().any(|(t, n, _)| t == task && *n == attempt);
-                let over = !self.ledger.jobs.contains_key(&task.job) && desk.is_over(&task.job);
-                if !haunted && (over || self.ledger.may_reap(task, attempt)) {
+                let unconfirmed_runs =
+                    machine.unconfirmed_runs.iter().any(|(t, n, _)| t == task && *n == attempt);
+                let over = !self.ledger.jobs.contains_key(&task.job) && requests.is_over(&task.job);
+                if !unconfirmed_runs && (over || self.ledger.may_reap(task, attempt)) {
                     orders.push(Order::Reap { task: task.clone(), attempt });
                 }
-            } else if let Some(leeway) = self.unwanted(host, task, attempt, desk) {
+            } else if let Some(leeway) = self.unwanted(host, task, attempt, requests) {
                 orders.push(Order::Kill { task: task.clone(), attempt, leeway });
             }
         }
@@ -215,10 +216,10 @@
         host: &HostName,
         task: &TaskId,
         attempt: u64,
-        desk: &Desk,
+        requests: &RequestHandler,
     ) -> Option<Duration> {
         let Some(entry) = self.ledger.jobs.get(&task.job) else {
-            return desk.is_over(&task.job).then_some(Duration::ZERO);
+            return requests.is_over(&task.job).then_some(Duration::ZERO);
         };
         match self.ledger.attempt(task) {
             Some(a) if a.number == attempt && a.host == *host => {
@@ -337,10 +338,10 @@
         }
         let Some(machine) = self.fleet.machines.get_mut(host) else { return };
         machine.busy = true;
-        machine.haunted.extend(runs.iter().map(|(t, n)| (t.clone(), *n, shift)));
+        machine.unconfirmed_runs.extend(runs.iter().map(|(t, n)| (t.clone(), *n, shift)));
         let address = machine.address.clone();
-        let deed = Deed::Orders { host: host.clone(), shift, runs };
-        out.orders(Purpose::Leader(self.baton, deed), address, self.baton, shift, orders);
+        let leader_call = LeaderCall::Orders { host: host.clone(), shift, runs };
+        out.orders(Purpose::Leader(self.token, leader_call), address, self.token, shift, orders);
     }
 
     /// Tells the machines of gangs that are to end, all at once.
--- a/crates/plankhead-core/src/leader/writing.rs
+++ b/crates/plankhead-core/src/leader/writing.rs
@@ -5,14 +5,14 @@
 impl Leader {
     /// Sends transactions: finished jobs first, then placements, the more urgent
     /// ones before others, then ends.
-    pub(super) fn flush(&mut self, now: Duration, desk: &mut Desk, out: &mut Out) {
+    pub(super) fn flush(&mut self, now: Duration, requests: &mut RequestHandler, out: &mut Out) {
         if now < self.hold_until {
             return;
         }
         if self.doubts {
             self.refresh(out);
         }
-        self.close(desk);
+        self.close(requests);
         let ends = now >= self.ends_due;
         if ends {
             self.ends_due = now + ENDS_LOOK;
@@ -41,7 +41,7 @@
             }
             self.txns += 1;
             let op = StateOp::Txn { conditions: txn.conditions, changes: txn.changes };
-            self.state(Deed::Write(txn.batch), op, out);
+            self.state(LeaderCall::Write(txn.batch), op, out);
         }
     }
 
@@ -126,7 +126,7 @@
 
     /// Cancelled jobs with nothing left on any machine need only a sweep, and gangs
     /// that were done before all their tasks had said so need nothing.
-    fn close(&mut self, desk: &mut Desk) {
+    fn close(&mut self, requests: &mut RequestHandler) {
         for id in self.ledger.closing.clone() {
             let Some(entry) = self.ledger.jobs.get(&id) else { continue };
             let writing = entry.chunks.values().any(|c| c.writing);
@@ -137,7 +137,7 @@
                 self.ledger.remove(&id);
                 continue;
             }
-            desk.over(&id, Status::Cancelled, 0);
+            requests.over(&id, Status::Cancelled, 0);
             if let Some(entry) = self.ledger.remove(&id) {
                 // The next leader would wait for proof of all that is left here.
                 let before = self.garbage.len();
@@ -159,17 +159,17 @@
             self.doubts |= stale;
             let key = self.chunk_key(id, *number);
             if stale && self.reading.insert(key.clone()) {
-                calls.push((Deed::ReadChunk(id.clone(), *number), key));
+                calls.push((LeaderCall::ReadChunk(id.clone(), *number), key));
             }
         }
         for (id, entry) in &self.ledger.jobs {
             self.doubts |= entry.stale;
             if entry.stale && self.reading.insert(id.key()) {
-                calls.push((Deed::ReadJob(id.clone()), id.key()));
+                calls.push((LeaderCall::ReadJob(id.clone()), id.key()));
             }
         }
-        for (deed, key) in calls {
-            self.state(deed, StateOp::Get { key }, out);
+        for (leader_call, key) in calls {
+            self.state(leader_call, StateOp::Get { key }, out);
         }
     }
 
@@ -185,7 +185,7 @@
         self.target_dirty = false;
         self.target_writing = true;
         let changes = vec![Change::Write { key: TARGET.into(), value, hold: None }];
-        self.state(Deed::Target, StateOp::Txn { conditions: vec![self.lead()], changes }, out);
+        self.state(LeaderCall::Target, StateOp::Txn { conditions: vec![self.lead()], changes }, out);
     }
 
     /// Drops chunks that nobody needs, when there is room to write.
@@ -207,7 +207,7 @@
         self.pressing = self.pressing.saturating_sub(keys.len());
         self.sweeping = true;
         let changes = keys.iter().map(|k| Change::Drop { key: k.clone() }).collect();
-        self.state(Deed::Sweep(keys), StateOp::Txn { conditions: vec![self.lead()], changes }, out);
+        self.state(LeaderCall::Sweep(keys), StateOp::Txn { conditions: vec![self.lead()], changes }, out);
     }
 
     /// Moves records of jobs that are over to where no new leader reads them.
@@ -226,6 +226,6 @@
             changes.push(Change::Write { key: id.over_key(), value, hold: None });
             changes.push(Change::Drop { key: id.key() });
         }
-        self.state(Deed::Archive(finals), StateOp::Txn { conditions, changes }, out);
+        self.state(LeaderCall::Archive(finals), StateOp::Txn { conditions, changes }, out);
     }
 }
--- a/crates/plankhead-core/src/lib.rs
+++ b/crates/plankhead-core/src/lib.rs
@@ -5,11 +5,9 @@
 //! the same effects.
 
 pub mod budget;
-pub mod desk;
 pub mod easy;
 pub mod election;
 pub mod fleet;
-pub mod gate;
 pub mod job;
 pub mod leader;
 pub mod ledger;
@@ -19,5 +17,7 @@
 pub mod protocol;
 pub mod queue;
 pub mod replay;
+pub mod requests;
 pub mod settings;
 pub mod sizing;
+pub mod version_barrier;
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -1,17 +1,17 @@
-//! One controller node: the desk for users, the election, and the leader's role
+//! One controller node: requests of users, the election, and the leader's role
 //! while it has it.
 
-use crate::desk::{Desk, Errand};
 use crate::election::{self, Election, Verdict};
-use crate::gate::{self, Gate};
 use crate::job::JobId;
-use crate::leader::{Deed, Leader, Sight};
+use crate::leader::{Leader, LeaderCall, Sight};
 use crate::portions::Portions;
 use crate::protocol::{
     Answer, Ask, Call, CallError, CloudOp, CloudReply, Effect, Event, HostName, Level, Order, Progress,
     Pulse, Report, Rig, StateOp, StateReply,
 };
+use crate::requests::{PendingRequest, RequestHandler};
 use crate::settings::Settings;
+use crate::version_barrier::{self, VersionBarrier};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -56,10 +56,10 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Purpose {
     Election(election::Step),
-    Gate(gate::Step),
-    Desk(Errand),
+    VersionBarrier(version_barrier::Step),
+    RequestHandler(PendingRequest),
     /// Under a token, so that replies to an earlier term are ignored.
-    Leader(u64, Deed),
+    Leader(u64, LeaderCall),
     Catalog,
 }
 
@@ -92,12 +92,12 @@
         &mut self,
         purpose: Purpose,
         address: Arc<str>,
-        baton: u64,
+        token: u64,
         shift: u64,
         orders: Vec<Order>,
     ) {
         let call = self.call(purpose);
-        self.effects.push(Effect::Orders { call, address, baton, shift, orders });
+        self.effects.push(Effect::Orders { call, address, token, shift, orders });
     }
 
     pub fn answer(&mut self, ask: Ask, answer: Answer) {
@@ -147,9 +147,9 @@
 pub struct Node {
     settings: Arc<Settings>,
     out: Out,
-    desk: Desk,
+    requests: RequestHandler,
     election: Election,
-    gate: Gate,
+    version_barrier: VersionBarrier,
     leader: Option<Leader>,
     rigs: BTreeMap<String, Rig>,
     catalog_due: Duration,
@@ -169,13 +169,13 @@
     pub fn new(settings: Settings) -> Self {
         let settings = Arc::new(settings);
         Self {
-            desk: Desk::new(settings.clone()),
+            requests: RequestHandler::new(settings.clone()),
             election: Election::new(
                 settings.host.clone(),
                 settings.boot,
                 Portions::new(settings.cpu).leader_lease(),
             ),
-            gate: Gate::new(&settings),
+            version_barrier: VersionBarrier::new(&settings),
             settings,
             out: Out::default(),
             leader: None,
@@ -222,9 +222,10 @@
         let retry = now + RETRY_WAKE;
         let catalog = (!self.catalog_asked).then_some(self.catalog_due);
         let held = self.held.iter().map(|held| held.until).min();
-        let waiting = self.desk.has_waiting().then_some(retry);
+        let waiting = self.requests.has_waiting().then_some(retry);
         let leader = self.leader.as_ref().map(|leader| leader.next_due(now, retry));
-        let dues = [self.election.next_due(), self.gate.next_due(), catalog, held, waiting, leader];
+        let dues =
+            [self.election.next_due(), self.version_barrier.next_due(), catalog, held, waiting, leader];
         let next = dues.into_iter().flatten().fold(self.pulse_due, Duration::min);
         next.max(now + LEAST_WAKE)
     }
@@ -233,11 +234,11 @@
         let now = times.now;
         match event {
             Event::Submit { ask, id, job } => {
-                let takes = (&self.rigs, self.gate.open());
-                self.desk.submit(times, ask, id, job, takes, &mut self.out);
+                let takes = (&self.rigs, self.version_barrier.open());
+                self.requests.submit(times, ask, id, job, takes, &mut self.out);
             }
-            Event::Poll { ask, id } => self.desk.poll(now, ask, id, &mut self.out),
-            Event::Abort { ask, id } => self.desk.abort(now, ask, id, &mut self.out),
+            Event::Poll { ask, id } => self.requests.poll(now, ask, id, &mut self.out),
+            Event::Abort { ask, id } => self.requests.abort(now, ask, id, &mut self.out),
             Event::Beat { ask, report, relayed } => {
                 if self.leader.as_ref().is_some_and(Leader::reads) && self.held.len() < MOST_HELD {
                     let until = times.now + if relayed { HOLD_RELAYED } else { HOLD };
@@ -258,7 +259,7 @@
                     Err(CallError::Busy) => {}
                     Err(CallError::TooLarge) => {
                         self.out.log(Level::Error, "a change was larger than is allowed by now".into());
-                        let news = self.gate.pass(&mut self.out);
+                        let news = self.version_barrier.pass(&mut self.out);
                         self.opened(news);
                     }
                     Err(_) => {
@@ -270,14 +271,20 @@
                         let verdict = self.election.reply(now, step, reply, &mut self.out);
                         self.verdict(times, verdict);
                     }
-                    Some(Purpose::Gate(step)) => {
-                        let news = self.gate.reply(step, reply, &mut self.out);
+                    Some(Purpose::VersionBarrier(step)) => {
+                        let news = self.version_barrier.reply(step, reply, &mut self.out);
                         self.opened(news);
                     }
-                    Some(Purpose::Desk(errand)) => self.errand(times, errand, reply),
-                    Some(Purpose::Leader(baton, deed)) => {
-                        if let Some(leader) = self.leader.as_mut().filter(|l| l.baton == baton) {
-                            if !leader.state_reply(times, deed, reply, &mut self.desk, &mut self.out) {
+                    Some(Purpose::RequestHandler(request)) => self.request(times, request, reply),
+                    Some(Purpose::Leader(token, leader_call)) => {
+                        if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
+                            if !leader.state_reply(
+                                times,
+                                leader_call,
+                                reply,
+                                &mut self.requests,
+                                &mut self.out,
+                            ) {
                                 let verdict = self.election.resign(&mut self.out);
                                 self.verdict(times, verdict);
                             }
@@ -288,17 +295,17 @@
             }
             Event::Cloud { call, reply } => match self.out.calls.remove(&call) {
                 Some(Purpose::Catalog) => self.catalog(now, reply),
-                Some(Purpose::Leader(baton, deed)) => {
-                    if let Some(leader) = self.leader.as_mut().filter(|l| l.baton == baton) {
-                        leader.cloud_reply(times, deed, reply, &mut self.out);
+                Some(Purpose::Leader(token, leader_call)) => {
+                    if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
+                        leader.cloud_reply(times, leader_call, reply, &mut self.out);
                     }
                 }
                 _ => {}
             },
             Event::Orders { call, reply } => {
-                if let Some(Purpose::Leader(baton, deed)) = self.out.calls.remove(&call) {
-                    if let Some(leader) = self.leader.as_mut().filter(|l| l.baton == baton) {
-                        leader.orders_reply(times, deed, reply, &mut self.out);
+                if let Some(Purpose::Leader(token, leader_call)) = self.out.calls.remove(&call) {
+                    if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
+                        leader.orders_reply(times, leader_call, reply, &mut self.out);
                     }
                 }
             }
@@ -310,20 +317,20 @@
         }
     }
 
-    fn errand(&mut self, times: Times, errand: Errand, reply: Result<StateReply, CallError>) {
+    fn request(&mut self, times: Times, request: PendingRequest, reply: Result<StateReply, CallError>) {
         let leader = self.leader.as_ref();
         let progress = |id: &JobId| leader.and_then(|l| l.progress(id));
-        let news = self.desk.reply(times, errand, reply, &progress, &mut self.out);
+        let news = self.requests.reply(times, request, reply, &progress, &mut self.out);
         if let Some(leader) = &mut self.leader {
             for row in news {
-                leader.job_row(times, &row, &mut self.desk);
+                leader.job_row(times, &row, &mut self.requests);
             }
         }
     }
 
     fn opened(&mut self, news: bool) {
         if news {
-            self.desk.all_new();
+            self.requests.all_new();
             if let Some(leader) = &mut self.leader {
                 leader.all_new();
             }
@@ -333,11 +340,11 @@
     fn verdict(&mut self, times: Times, verdict: Verdict) {
         match verdict {
             Verdict::None => {}
-            Verdict::Won { baton } => {
-                self.out.log(Level::Info, format!("leads under token {baton}"));
-                let mut leader = Leader::new(self.settings.clone(), baton, times.now);
+            Verdict::Won { token } => {
+                self.out.log(Level::Info, format!("leads under token {token}"));
+                let mut leader = Leader::new(self.settings.clone(), token, times.now);
                 leader.catalog(self.rigs.clone());
-                if self.gate.open() {
+                if self.version_barrier.open() {
                     leader.all_new();
                 }
                 leader.load(times.now, &mut self.out);
@@ -354,23 +361,23 @@
         let now = times.now;
         let adrift = !self.election.firm(now) && !self.company(now);
         if let Some(leader) = &mut self.leader {
-            if report.baton <= leader.baton {
-                return leader.beat(times, report, (relayed, adrift), &self.desk, &mut self.out);
+            if report.token <= leader.token {
+                return leader.beat(times, report, (relayed, adrift), &self.requests, &mut self.out);
             }
             // A worker has seen a later token than ours.
             let verdict = self.election.lost();
             self.verdict(times, verdict);
         }
-        let Some((baton, foreman)) = self.foreman(now, report.baton) else {
+        let Some((token, foreman)) = self.foreman(now, report.token) else {
             return Answer::Elsewhere { foreman: None };
         };
         // Who knows the leader's token, or was sent there and is back, can't
         // reach it.
         let back = |(to, at): &(u64, Duration)| {
             let since = now.saturating_sub(*at);
-            *to == baton && since > SENT && since < SENT_LIFE
+            *to == token && since > SENT && since < SENT_LIFE
         };
-        let known = baton == report.baton || self.sent.get(&report.host).is_some_and(back);
+        let known = token == report.token || self.sent.get(&report.host).is_some_and(back);
         if known && !relayed {
             return Answer::Relay { foreman };
         }
@@ -378,7 +385,7 @@
             self.sent.retain(|_, (_, at)| now.saturating_sub(*at) < SENT_LIFE);
         }
         if self.sent.len() < MOST_SENT {
-            self.sent.insert(report.host, (baton, now));
+            self.sent.insert(report.host, (token, now));
         }
         Answer::Elsewhere { foreman: Some(foreman) }
     }
@@ -405,7 +412,7 @@
     fn among_all(&self, now: Duration) -> bool {
         let there = |name: &String| {
             let heard = self.siblings.get(name);
-            heard.is_some_and(|(at, pulse)| now.saturating_sub(*at) < PULSE_LIFE && pulse.baton == 0)
+            heard.is_some_and(|(at, pulse)| now.saturating_sub(*at) < PULSE_LIFE && pulse.token == 0)
         };
         self.settings.siblings.iter().all(there)
     }
@@ -414,10 +421,10 @@
     /// by its own word where the state service does not serve us.
     fn foreman(&self, now: Duration, least: u64) -> Option<(u64, String)> {
         let heard = self.siblings.values().filter(|(at, _)| now.saturating_sub(*at) < PULSE_LIFE);
-        let told = heard.map(|(_, pulse)| (pulse.baton, &pulse.host));
-        let read = self.election.foreman.iter().map(|(host, baton)| (*baton, host));
-        let latest = told.chain(read).filter(|(baton, _)| *baton > 0 && *baton >= least).max();
-        latest.map(|(baton, host)| (baton, host.clone()))
+        let told = heard.map(|(_, pulse)| (pulse.token, &pulse.host));
+        let read = self.election.foreman.iter().map(|(host, token)| (*token, host));
+        let latest = told.chain(read).filter(|(token, _)| *token > 0 && *token >= least).max();
+        latest.map(|(token, host)| (token, host.clone()))
     }
 
     fn catalog(&mut self, now: Duration, reply: Result<CloudReply, CallError>) {
@@ -440,13 +447,13 @@
         }
         // The state service may not serve us, who then would not learn from it
         // that the key is somebody else's, and would hold the workers.
-        if self.leader.as_ref().is_some_and(|l| l.baton < pulse.baton) {
+        if self.leader.as_ref().is_some_and(|l| l.token < pulse.token) {
             let verdict = self.election.lost();
             self.verdict(times, verdict);
         }
         let now = times.now;
-        if pulse.baton > 0 {
-            self.desk.progress(&pulse.progress);
+        if pulse.token > 0 {
+            self.requests.progress(&pulse.progress);
         }
         self.siblings.insert(pulse.host.clone(), (now, pulse));
     }
@@ -454,12 +461,12 @@
     fn tick(&mut self, times: Times) {
         let now = times.now;
         self.election.tick(now, &mut self.out);
-        self.gate.tick(now, &mut self.out);
+        self.version_barrier.tick(now, &mut self.out);
         if now >= self.catalog_due && !self.catalog_asked {
             self.catalog_asked = true;
             self.out.cloud(Purpose::Catalog, CloudOp::Catalog);
         }
-        self.desk.tick(times, &mut self.out);
+        self.requests.tick(times, &mut self.out);
         let sight = Sight {
             firm: self.election.firm(now),
             steady: self.election.steady(now),
@@ -467,7 +474,7 @@
             behind: self.lag > BEHIND,
         };
         if let Some(leader) = &mut self.leader {
-            leader.tick(times, sight, &mut self.desk, &mut self.out);
+            leader.tick(times, sight, &mut self.requests, &mut self.out);
         }
         if !self.held.is_empty() {
             self.release_held(times);
@@ -489,7 +496,7 @@
             self.out.effects.push(Effect::Pulse(Pulse {
                 host: self.settings.host.clone(),
                 state_ok: self.state_bad.is_none(),
-                baton: self.leader.as_ref().map_or(0, |l| l.baton),
+                token: self.leader.as_ref().map_or(0, |l| l.token),
                 progress,
             }));
         }
@@ -501,13 +508,13 @@
             .values()
             .map(|(at, p)| {
                 serde_json::json!({"host": p.host, "heardS": times.now.saturating_sub(*at).as_secs_f64(),
-                    "stateOk": p.state_ok, "leads": p.baton > 0})
+                    "stateOk": p.state_ok, "leads": p.token > 0})
             })
             .collect();
         serde_json::json!({
             "host": self.settings.host,
             "stateOk": self.state_bad.is_none(),
-            "allNew": self.gate.open(),
+            "allNew": self.version_barrier.open(),
             "leader": self.leader.as_ref().map(|l| l.view(times)),
             "foreman": self.foreman(times.now, 0).map(|(_, host)| host),
             "siblings": siblings,
--- a/crates/plankhead-core/src/protocol.rs
+++ b/crates/plankhead-core/src/protocol.rs
@@ -68,7 +68,7 @@
     Orders {
         call: Call,
         address: Arc<str>,
-        baton: u64,
+        token: u64,
         shift: u64,
         orders: Vec<Order>,
     },
@@ -90,7 +90,7 @@
     pub host: String,
     pub state_ok: bool,
     /// The token under which the sender leads, or 0.
-    pub baton: u64,
+    pub token: u64,
     pub progress: Vec<Progress>,
 }
 
@@ -119,7 +119,7 @@
         retry: Duration,
     },
     Beat {
-        baton: u64,
+        token: u64,
         orders: Vec<Order>,
     },
     /// 421, with the node to report to where it is known.
@@ -171,7 +171,7 @@
     pub spot: bool,
     pub shift: u64,
     pub tick: u64,
-    pub baton: u64,
+    pub token: u64,
     pub warning: Option<Duration>,
     pub tasks: Arc<[Listed]>,
 }
--- a/crates/plankhead-core/src/desk.rs
+++ b/crates/plankhead-core/src/requests.rs
@@ -1,4 +1,4 @@
-//! The desk for users: takes jobs in, tells their state and cancels them,
+//! Requests of users: takes jobs in, tells their state and cancels them,
 //! straight in the state service and on any node.
 
 use crate::budget::Bucket;
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Requests under way at most; more are refused at once.
-const MOST_ERRANDS: usize = 250;
+const MOST_PENDING: usize = 250;
 /// Final states kept in memory; others are read again.
 const MOST_FINALS: usize = 50_000;
 /// Transactions with new jobs under way at most.
@@ -33,13 +33,13 @@
 
 /// What a call to the state service is for.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Errand {
+pub enum PendingRequest {
     Create(Vec<Create>),
     /// `over`: in the place of jobs that are over, since the first one is empty.
     Look {
         ask: Ask,
         id: JobId,
-        why: Why,
+        why: LookupReason,
         over: bool,
     },
     Cancel {
@@ -51,7 +51,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq)]
-pub enum Why {
+pub enum LookupReason {
     Poll,
     /// A repeated submission, or one whose commit is in doubt.
     Repeat,
@@ -71,11 +71,11 @@
 }
 
 #[derive(Debug)]
-pub struct Desk {
+pub struct RequestHandler {
     settings: Arc<Settings>,
     waiting: VecDeque<Create>,
     batches: usize,
-    errands: usize,
+    pending: usize,
     reads: Bucket,
     writes: Bucket,
     finals: HashMap<JobId, (Status, u32)>,
@@ -92,13 +92,13 @@
     Bucket::new(write_rps * 0.4 / nodes, write_rps / nodes)
 }
 
-impl Desk {
+impl RequestHandler {
     pub fn new(settings: Arc<Settings>) -> Self {
         let nodes = settings.nodes.max(1) as f64;
         Self {
             waiting: VecDeque::new(),
             batches: 0,
-            errands: 0,
+            pending: 0,
             // The leader's own calls need the rest.
             reads: Bucket::new(settings.state_rps * 0.7 / nodes, settings.state_rps * 0.5 / nodes),
             writes: write_budget(settings.write_rps, settings.nodes),
@@ -154,7 +154,7 @@
     /// been refused at once.
     fn admit(&mut self, now: Duration, ask: Ask, out: &mut Out) -> bool {
         let probe = !self.failing || now.saturating_sub(self.probed) >= PROBE;
-        if !probe || self.errands >= MOST_ERRANDS {
+        if !probe || self.pending >= MOST_PENDING {
             Self::unavailable(ask, out);
             return false;
         }
@@ -162,17 +162,23 @@
         true
     }
 
-    fn look(&mut self, now: Duration, ask: Ask, id: JobId, why: Why, out: &mut Out) {
+    fn look(&mut self, now: Duration, ask: Ask, id: JobId, why: LookupReason, out: &mut Out) {
         self.look_at(now, (ask, id, why), false, out);
     }
 
-    fn look_at(&mut self, now: Duration, (ask, id, why): (Ask, JobId, Why), over: bool, out: &mut Out) {
+    fn look_at(
+        &mut self,
+        now: Duration,
+        (ask, id, why): (Ask, JobId, LookupReason),
+        over: bool,
+        out: &mut Out,
+    ) {
         if !self.reads.take(now, 1) {
             return Self::unavailable(ask, out);
         }
-        self.errands += 1;
+        self.pending += 1;
         let key = if over { id.over_key() } else { id.key() };
-        out.state(Purpose::Desk(Errand::Look { ask, id, why, over }), StateOp::Get { key });
+        out.state(Purpose::RequestHandler(PendingRequest::Look { ask, id, why, over }), StateOp::Get { key });
     }
 
     fn known(&self, ask: Ask, id: &JobId, out: &mut Out) -> bool {
@@ -198,20 +204,20 @@
         let spec = match job {
             Ok(spec) => spec,
             Err(reason) => {
-                return self.look(times.now, ask, id, Why::Refuse(Answer::Malformed(reason)), out);
+                return self.look(times.now, ask, id, LookupReason::Refuse(Answer::Malformed(reason)), out);
             }
         };
         if rigs.is_empty() {
             let later = Answer::Unavailable { retry: RETRY };
-            return self.look(times.now, ask, id, Why::Refuse(later), out);
+            return self.look(times.now, ask, id, LookupReason::Refuse(later), out);
         }
         if let Some(reason) = self.impossible(&spec, rigs) {
-            return self.look(times.now, ask, id, Why::Refuse(Answer::Impossible(reason)), out);
+            return self.look(times.now, ask, id, LookupReason::Refuse(Answer::Impossible(reason)), out);
         }
         // An older node would take it for an array.
         if spec.gang && !takes_gangs {
             let later = Answer::Unavailable { retry: RETRY };
-            return self.look(times.now, ask, id, Why::Refuse(later), out);
+            return self.look(times.now, ask, id, LookupReason::Refuse(later), out);
         }
         if let Some(same) = self.waiting.iter_mut().find(|c| c.id == id) {
             same.asks.push(ask);
@@ -227,12 +233,12 @@
         };
         match serde_json::to_string(&record) {
             Ok(value) if value.len() + 200 <= self.settings.value_bytes => {
-                self.errands += 1;
+                self.pending += 1;
                 self.waiting.push_back(Create { asks: vec![ask], id, value, since: times.now });
             }
             _ => {
                 let answer = Answer::Malformed("the job's description is too long".into());
-                self.look(times.now, ask, id, Why::Refuse(answer), out);
+                self.look(times.now, ask, id, LookupReason::Refuse(answer), out);
             }
         }
     }
@@ -271,13 +277,13 @@
 
     pub fn poll(&mut self, now: Duration, ask: Ask, id: JobId, out: &mut Out) {
         if !self.known(ask, &id, out) && self.admit(now, ask, out) {
-            self.look(now, ask, id, Why::Poll, out);
+            self.look(now, ask, id, LookupReason::Poll, out);
         }
     }
 
     pub fn abort(&mut self, now: Duration, ask: Ask, id: JobId, out: &mut Out) {
         if !self.known(ask, &id, out) && self.admit(now, ask, out) {
-            self.look(now, ask, id, Why::Abort { attempts: 0 }, out);
+            self.look(now, ask, id, LookupReason::Abort { attempts: 0 }, out);
         }
     }
 
@@ -292,7 +298,7 @@
         let now = times.now;
         while self.waiting.front().is_some_and(|c| now.saturating_sub(c.since) > PATIENCE) {
             if let Some(create) = self.waiting.pop_front() {
-                self.errands = self.errands.saturating_sub(1);
+                self.pending = self.pending.saturating_sub(1);
                 for ask in create.asks {
                     Self::unavailable(ask, out);
                 }
@@ -320,7 +326,10 @@
                 .iter()
                 .map(|c| Change::Write { key: c.id.key(), value: c.value.clone(), hold: None })
                 .collect();
-            out.state(Purpose::Desk(Errand::Create(batch)), StateOp::Txn { conditions, changes });
+            out.state(
+                Purpose::RequestHandler(PendingRequest::Create(batch)),
+                StateOp::Txn { conditions, changes },
+            );
         }
     }
 
@@ -328,26 +337,26 @@
     pub fn reply(
         &mut self,
         times: Times,
-        errand: Errand,
+        request: PendingRequest,
         reply: Result<StateReply, CallError>,
         progress: &dyn Fn(&JobId) -> Option<(u32, u32)>,
         out: &mut Out,
     ) -> Vec<Row> {
         self.failing = matches!(reply, Err(CallError::Refused | CallError::Lost));
         let now = times.now;
-        match errand {
-            Errand::Create(batch) => {
+        match request {
+            PendingRequest::Create(batch) => {
                 self.batches -= 1;
-                self.errands = self.errands.saturating_sub(batch.len());
+                self.pending = self.pending.saturating_sub(batch.len());
                 self.created(now, batch, reply, out)
             }
-            Errand::Look { ask, id, why, over } => {
-                self.errands -= 1;
+            PendingRequest::Look { ask, id, why, over } => {
+                self.pending -= 1;
                 self.looked(times, (ask, id, why), over, reply, progress, out);
                 Vec::new()
             }
-            Errand::Cancel { ask, id, record, attempts } => {
-                self.errands -= 1;
+            PendingRequest::Cancel { ask, id, record, attempts } => {
+                self.pending -= 1;
                 self.cancelled(now, ask, id, *record, attempts, reply, out)
             }
         }
@@ -387,10 +396,10 @@
                 for create in batch {
                     if failed.contains(&create.id.key()) || failed.contains(&create.id.over_key()) {
                         for ask in create.asks {
-                            self.look(now, ask, create.id.clone(), Why::Repeat, out);
+                            self.look(now, ask, create.id.clone(), LookupReason::Repeat, out);
                         }
                     } else {
-                        self.errands += 1;
+                        self.pending += 1;
                         self.waiting.push_front(create);
                     }
                 }
@@ -402,7 +411,7 @@
             }
             // Others used the budget: it comes back within the patience.
             Err(CallError::Busy) => {
-                self.errands += batch.len();
+                self.pending += batch.len();
                 self.held = now + BUSY;
                 for create in batch.into_iter().rev() {
                     self.waiting.push_front(create);
@@ -412,7 +421,7 @@
             _ => {
                 for create in batch {
                     for ask in create.asks {
-                        self.look(now, ask, create.id.clone(), Why::Repeat, out);
+                        self.look(now, ask, create.id.clone(), LookupReason::Repeat, out);
                     }
                 }
             }
@@ -423,7 +432,7 @@
     fn looked(
         &mut self,
         times: Times,
-        (ask, id, why): (Ask, JobId, Why),
+        (ask, id, why): (Ask, JobId, LookupReason),
         over: bool,
         reply: Result<StateReply, CallError>,
         progress: &dyn Fn(&JobId) -> Option<(u32, u32)>,
@@ -443,9 +452,9 @@
                 return self.look_at(times.now, (ask, id, why), true, out);
             }
             return match why {
-                Why::Poll | Why::Abort { .. } => out.answer(ask, Answer::NotFound),
-                Why::Repeat => Self::unavailable(ask, out),
-                Why::Refuse(answer) => out.answer(ask, answer),
+                LookupReason::Poll | LookupReason::Abort { .. } => out.answer(ask, Answer::NotFound),
+                LookupReason::Repeat => Self::unavailable(ask, out),
+                LookupReason::Refuse(answer) => out.answer(ask, answer),
             };
         };
         let Ok(record) = serde_json::from_str::<JobRecord>(&row.value) else {
@@ -455,7 +464,7 @@
             Phase::Done => self.over(&id, Status::Done, record.tasks),
             Phase::Cancelled => self.over(&id, Status::Cancelled, 0),
             Phase::Live => {
-                if let Why::Abort { attempts } = why {
+                if let LookupReason::Abort { attempts } = why {
                     return self.cancel(times, ask, id, record, row.stamp, attempts, out);
                 }
                 let known = progress(&id).or_else(|| self.seen.get(&id).copied());
@@ -486,10 +495,10 @@
         let Some(value) = record.text(self.settings.value_bytes) else {
             return Self::unavailable(ask, out);
         };
-        self.errands += 1;
+        self.pending += 1;
         let key = id.key();
         out.state(
-            Purpose::Desk(Errand::Cancel { ask, id, record: Box::new(record), attempts }),
+            Purpose::RequestHandler(PendingRequest::Cancel { ask, id, record: Box::new(record), attempts }),
             StateOp::Txn {
                 conditions: vec![Condition { key: key.clone(), stamp }],
                 changes: vec![Change::Write { key, value, hold: None }],
@@ -517,7 +526,7 @@
             }
             Err(CallError::Refused | CallError::Busy | CallError::TooLarge) => Self::unavailable(ask, out),
             // Changed meanwhile, or in doubt: look again and go on from there.
-            _ => self.look(now, ask, id, Why::Abort { attempts: attempts + 1 }, out),
+            _ => self.look(now, ask, id, LookupReason::Abort { attempts: attempts + 1 }, out),
         }
         Vec::new()
     }
--- a/crates/plankhead-core/src/gate.rs
+++ b/crates/plankhead-core/src/version_barrier.rs
@@ -1,7 +1,7 @@
 //! Whether every node has this version. Each writes a small key once, which older
 //! versions never look at: what they can't read may be stored only when the keys of
 //! all nodes in the settings are there. A node that has shown its version once comes
-//! back with it, so that the gate, once open, stays open, whoever is cut off or
+//! back with it, so that the barrier, once open, stays open, whoever is cut off or
 //! starts again.
 
 use crate::node::{Out, Purpose};
@@ -30,7 +30,7 @@
 }
 
 #[derive(Debug)]
-pub struct Gate {
+pub struct VersionBarrier {
     host: String,
     all: BTreeSet<String>,
     marked: bool,
@@ -39,7 +39,7 @@
     due: Duration,
 }
 
-impl Gate {
+impl VersionBarrier {
     pub fn new(settings: &Settings) -> Self {
         let all = settings.siblings.iter().chain([&settings.host]).cloned().collect();
         let host = settings.host.clone();
@@ -50,7 +50,7 @@
         self.open
     }
 
-    /// When [`Gate::tick`] has something to do next, unless a reply comes before.
+    /// When [`VersionBarrier::tick`] has something to do next, unless a reply comes before.
     pub fn next_due(&self) -> Option<Duration> {
         (!self.open && !self.pending).then_some(self.due)
     }
@@ -70,10 +70,10 @@
             }
             _ => (Step::Look, StateOp::List { prefix: PREFIX.into(), after: None }),
         };
-        out.state(Purpose::Gate(step), op);
+        out.state(Purpose::VersionBarrier(step), op);
     }
 
-    /// Handles a reply; true if the gate has opened by it.
+    /// Handles a reply; true if the barrier has opened by it.
     pub fn reply(&mut self, step: Step, reply: Result<StateReply, CallError>, out: &mut Out) -> bool {
         self.pending = false;
         match (step, reply) {
--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -69,7 +69,7 @@
         spot: true,
         shift,
         tick,
-        baton: 0,
+        token: 0,
         warning: None,
         tasks: tasks
             .iter()
@@ -262,7 +262,7 @@
     let heard = |unanswered: u32, quiet: Duration| {
         let mut fleet = Fleet::default();
         let mut up = report(1, 1, &[]);
-        up.baton = 7;
+        up.token = 7;
         fleet.observe(&up, 7, NOW);
         // One of many: more at once may be out of reach only.
         for n in 2..=50 {
@@ -293,7 +293,7 @@
         let mut up = report(1, 1, &[]);
         up.host = format!("i-{n}").into();
         up.zone = if n < 4 { "x".into() } else { "y".into() };
-        up.baton = 7;
+        up.token = 7;
         fleet.observe(&up, 7, NOW);
     }
     let later = NOW + second * 8;
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -79,7 +79,7 @@
 }
 
 /// A machine's report under the token that it knows, with the job's task running.
-fn report(tick: u64, baton: u64) -> Report {
+fn report(tick: u64, token: u64) -> Report {
     let task = TaskId { job: id(), index: 0 };
     Report {
         host: "i-1".into(),
@@ -89,7 +89,7 @@
         spot: true,
         shift: 3,
         tick,
-        baton,
+        token,
         warning: None,
         tasks: [Listed { task, attempt: 1, seen: Seen::Running }].into(),
     }
@@ -164,8 +164,8 @@
         ask
     }
 
-    fn beat(&mut self, tick: u64, baton: u64) -> Ask {
-        self.ask(|ask| Event::Beat { ask, report: report(tick, baton), relayed: false })
+    fn beat(&mut self, tick: u64, token: u64) -> Ask {
+        self.ask(|ask| Event::Beat { ask, report: report(tick, token), relayed: false })
     }
 
     fn answer(&self, ask: Ask) -> Option<&Answer> {
@@ -176,10 +176,10 @@
     }
 
     /// Has the node win the key under this token.
-    fn wins(&mut self, baton: u64) {
+    fn wins(&mut self, token: u64) {
         self.reply(gets("lead"), Ok(StateReply::Got(None)));
-        self.reply(|op| matches!(op, StateOp::Grant { .. }), Ok(StateReply::Granted { hold: baton }));
-        self.reply(writes("lead"), Ok(StateReply::Committed { epoch: baton }));
+        self.reply(|op| matches!(op, StateOp::Grant { .. }), Ok(StateReply::Granted { hold: token }));
+        self.reply(writes("lead"), Ok(StateReply::Committed { epoch: token }));
     }
 
     /// Has the leader read one job, live by what was read, and its placement on i-1.
@@ -224,7 +224,7 @@
     assert_eq!(bench.answer(early), None);
     bench.pass(ms(300));
     bench.loads();
-    assert!(matches!(bench.answer(early), Some(Answer::Beat { baton: 41, .. })), "{:?}", bench.answer(early));
+    assert!(matches!(bench.answer(early), Some(Answer::Beat { token: 41, .. })), "{:?}", bench.answer(early));
 
     let mut bench = Bench::new();
     bench.wins(41);
--- a/crates/plankhead-core/tests/upgrade.rs
+++ b/crates/plankhead-core/tests/upgrade.rs
@@ -7,18 +7,18 @@
 mod before;
 
 use plankhead_core::election::Holder;
-use plankhead_core::gate::{Gate, Step};
 use plankhead_core::job::{JobId, JobRecord, Phase};
 use plankhead_core::leader::{Size, Target};
 use plankhead_core::ledger::{tasks_per_chunk, Ledger, TaskState};
 use plankhead_core::node::Out;
 use plankhead_core::protocol::*;
 use plankhead_core::settings::{Settings, Sizing};
+use plankhead_core::version_barrier::{Step, VersionBarrier};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(1000);
-const SPEC: &str = r#"{"class":"calib","team":"desk","urgency":"urgent","tasks":12,"each":{"cpus":4.0,"gpus":0.0,"ram":10.5},"image":"img-7","image_gb":0.7,"rigs":["r"],"zone":null,"one_zone":true,"scatter":false,"spot":true,"estimate":20.25,"checkpoint":0.0,"save":0.0,"due":90.0}"#;
+const SPEC: &str = r#"{"class":"calib","team":"requests","urgency":"urgent","tasks":12,"each":{"cpus":4.0,"gpus":0.0,"ram":10.5},"image":"img-7","image_gb":0.7,"rigs":["r"],"zone":null,"one_zone":true,"scatter":false,"spot":true,"estimate":20.25,"checkpoint":0.0,"save":0.0,"due":90.0}"#;
 const RUN: &str = r#"{"h":[["i-000001",3,"z"],["i-000002",3,"z"]],"t":[[0,1,0],[1,1,0],[2,1,1]],"d":[]}"#;
 
 fn live() -> String {
@@ -166,7 +166,7 @@
             spot: true,
             shift: 1,
             tick: 5,
-            baton: 1,
+            token: 1,
             warning: None,
             tasks: [Listed { task, attempt: 2, seen }].into(),
         };
@@ -197,7 +197,7 @@
     let text = record.text(2048).unwrap();
     let read: JobRecord = serde_json::from_str(&text).unwrap();
     let spec = read.spec.unwrap();
-    assert_eq!((spec.team.as_str(), spec.tasks, spec.each.cpus), ("desk", 12, 4.0));
+    assert_eq!((spec.team.as_str(), spec.tasks, spec.each.cpus), ("requests", 12, 4.0));
 }
 
 fn settings() -> Settings {
@@ -224,7 +224,7 @@
     }
 }
 
-/// The gate opens once every node has shown this version, and not for one that has
+/// The version_barrier opens once every node has shown this version, and not for one that has
 /// shown an earlier format; nothing closes it.
 #[test]
 fn gangs_wait_for_every_node() {
@@ -234,19 +234,28 @@
         stamp: 1,
     };
     let look = |rows: Vec<Row>| {
-        let (mut gate, mut out) = (Gate::new(&settings()), Out::default());
-        gate.tick(NOW, &mut out);
-        gate.reply(Step::Mark, Ok(StateReply::Conflict { failed: vec!["node/plank-0".into()] }), &mut out);
-        gate.tick(NOW, &mut out);
-        gate.reply(Step::Look, Ok(StateReply::Page { rows, truncated: false, epoch: 9 }), &mut out);
-        gate
+        let (mut version_barrier, mut out) = (VersionBarrier::new(&settings()), Out::default());
+        version_barrier.tick(NOW, &mut out);
+        version_barrier.reply(
+            Step::Mark,
+            Ok(StateReply::Conflict { failed: vec!["node/plank-0".into()] }),
+            &mut out,
+        );
+        version_barrier.tick(NOW, &mut out);
+        version_barrier.reply(
+            Step::Look,
+            Ok(StateReply::Page { rows, truncated: false, epoch: 9 }),
+            &mut out,
+        );
+        version_barrier
     };
     assert!(!look(vec![row("plank-0", 1), row("plank-1", 1)]).open());
     assert!(!look(vec![row("plank-0", 1), row("plank-1", 1), row("plank-2", 0)]).open());
-    let mut gate = look(vec![row("plank-0", 1), row("plank-1", 1), row("plank-2", 2), row("plank-9", 1)]);
-    assert!(gate.open());
+    let mut version_barrier =
+        look(vec![row("plank-0", 1), row("plank-1", 1), row("plank-2", 2), row("plank-9", 1)]);
+    assert!(version_barrier.open());
     let mut out = Out::default();
-    gate.reply(Step::Look, Err(CallError::Lost), &mut out);
-    gate.tick(NOW * 2, &mut out);
-    assert!(gate.open() && out.effects.is_empty());
+    version_barrier.reply(Step::Look, Err(CallError::Lost), &mut out);
+    version_barrier.tick(NOW * 2, &mut out);
+    assert!(version_barrier.open() && out.effects.is_empty());
 }
--- a/crates/plankhead-core/tests/world/gang.rs
+++ b/crates/plankhead-core/tests/world/gang.rs
@@ -32,11 +32,11 @@
     }
 
     /// The leader tells tasks to run: of a gang, no task before all are durably placed.
-    pub(super) fn gang_sent(&mut self, baton: u64, orders: &[Order]) {
+    pub(super) fn gang_sent(&mut self, token: u64, orders: &[Order]) {
         for order in orders {
             let Order::Run { task, attempt } = order else { continue };
             let job = &mut self.jobs[self.by_id[&task.job]];
-            if !job.spec.gang || *attempt <= job.told_run || baton != self.led.0 {
+            if !job.spec.gang || *attempt <= job.told_run || token != self.led.0 {
                 continue;
             }
             job.told_run = *attempt;
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -192,7 +192,7 @@
         boot: u64,
         call: Call,
         host: HostName,
-        baton: u64,
+        token: u64,
         shift: u64,
         orders: Vec<Order>,
     },
@@ -858,8 +858,8 @@
                 let pause = if answered { ms(50) } else { secs(3) };
                 self.at(pause, Happening::ToNode { node, boot, event });
             }
-            Happening::OrdersArrive { node, boot, call, host, baton, shift, orders } => {
-                self.orders_arrive(node, boot, call, host, baton, shift, orders);
+            Happening::OrdersArrive { node, boot, call, host, token, shift, orders } => {
+                self.orders_arrive(node, boot, call, host, token, shift, orders);
             }
             Happening::Beat { host } => self.beat(host),
             Happening::BeatAnswered { host, sent, shift, tick, answer } => {
@@ -946,8 +946,8 @@
         }
         self.expire();
         match self.kv.stamp("lead") {
-            Some(baton) if baton > self.led.0 => {
-                self.led = (baton, self.now);
+            Some(token) if token > self.led.0 => {
+                self.led = (token, self.now);
                 self.deliver_kept();
                 self.moment(Moment::Won);
             }
@@ -1075,9 +1075,9 @@
                 self.at(held, Happening::CloudArrives { node, boot, call, op, answered: false });
                 Event::Cloud { call, reply: Err(CallError::Lost) }
             }
-            Effect::Orders { call, address, baton, shift, orders } => {
+            Effect::Orders { call, address, token, shift, orders } => {
                 let host: HostName = address.as_ref().trim_start_matches("at-").into();
-                let late = Happening::OrdersArrive { node, boot: 0, call, host, baton, shift, orders };
+                let late = Happening::OrdersArrive { node, boot: 0, call, host, token, shift, orders };
                 self.at(held, late);
                 Event::Orders { call, reply: OrdersReply::Unanswered }
             }
@@ -1106,8 +1106,8 @@
         }
         match effect {
             Effect::Answer { ask, answer } => {
-                if let Answer::Beat { baton, orders } = &answer {
-                    self.sent(*baton, orders);
+                if let Answer::Beat { token, orders } = &answer {
+                    self.sent(*token, orders);
                 }
                 if let Some((since, asked)) = self.asks.remove(&(node, boot, ask)) {
                     self.asked_at = since;
@@ -1146,10 +1146,10 @@
                 let delay = if answered { ms(100) } else { self.between(100, 20_000) };
                 self.at(delay, Happening::CloudArrives { node, boot, call, op, answered });
             }
-            Effect::Orders { call, address, baton, shift, orders } => {
+            Effect::Orders { call, address, token, shift, orders } => {
                 let starts = orders.iter().any(|o| matches!(o, Order::Run { .. }));
                 assert!(!starts || self.lag.is_zero(), "a start of its own while behind");
-                self.sent(baton, &orders);
+                self.sent(token, &orders);
                 let host: HostName = address.as_ref().trim_start_matches("at-").into();
                 let held = self.troubles.held > 0.0 && self.chance(self.troubles.held);
                 let delay = if held { self.between(1000, 9000) } else { self.between(1, 5) };
@@ -1158,10 +1158,10 @@
                     let event = Event::Orders { call, reply: OrdersReply::Unanswered };
                     self.at(secs(2), Happening::ToNode { node, boot, event });
                     let boot = 0;
-                    let late = Happening::OrdersArrive { node, boot, call, host, baton, shift, orders };
+                    let late = Happening::OrdersArrive { node, boot, call, host, token, shift, orders };
                     return self.at(delay, late);
                 }
-                self.at(delay, Happening::OrdersArrive { node, boot, call, host, baton, shift, orders });
+                self.at(delay, Happening::OrdersArrive { node, boot, call, host, token, shift, orders });
             }
             Effect::Pulse(pulse) => {
                 for other in (0..3).filter(|n| *n != node) {
--- a/crates/plankhead-core/tests/world/script.rs
+++ b/crates/plankhead-core/tests/world/script.rs
@@ -80,8 +80,8 @@
     }
 
     /// What the leader tells its workers.
-    pub(super) fn sent(&mut self, baton: u64, orders: &[Order]) {
-        self.gang_sent(baton, orders);
+    pub(super) fn sent(&mut self, token: u64, orders: &[Order]) {
+        self.gang_sent(token, orders);
         for order in orders {
             match order {
                 Order::Run { task, attempt } => {
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -62,7 +62,7 @@
             spot: self.spot,
             shift: self.shift,
             tick: self.tick,
-            baton: self.token,
+            token: self.token,
             warning: self.taken.map(|at| at.saturating_sub(now)),
             tasks: self
                 .tasks
@@ -263,13 +263,13 @@
         }
         worker.waiting = None;
         let pause = match answer {
-            Answer::Beat { baton, orders } => {
-                if baton < self.led.0 && baton >= worker.token {
+            Answer::Beat { token, orders } => {
+                if token < self.led.0 && token >= worker.token {
                     self.held = self.held.max(now.saturating_sub(self.led.1));
                 }
                 worker.expire(now);
-                if worker.shift == shift && baton >= worker.token {
-                    worker.token = baton;
+                if worker.shift == shift && token >= worker.token {
+                    worker.token = token;
                     worker.leased = worker.leased.max(sent);
                     for order in orders {
                         self.obey(&host, order);
@@ -298,7 +298,7 @@
         boot: u64,
         call: Call,
         host: HostName,
-        baton: u64,
+        token: u64,
         shift: u64,
         orders: Vec<Order>,
     ) {
@@ -317,12 +317,12 @@
         if now < held {
             // Given up by the sender, and carried out when the worker is back.
             unanswered(self);
-            let late = Happening::OrdersArrive { node, boot: 0, call, host, baton, shift, orders };
+            let late = Happening::OrdersArrive { node, boot: 0, call, host, token, shift, orders };
             return self.at(held - now, late);
         }
         worker.expire(now);
-        if baton >= worker.token && shift == worker.shift {
-            worker.token = baton;
+        if token >= worker.token && shift == worker.shift {
+            worker.token = token;
             for order in orders {
                 self.obey(&host, order);
             }
--- a/crates/plankhead/src/agent.rs
+++ b/crates/plankhead/src/agent.rs
@@ -42,9 +42,9 @@
         Some(client)
     }
 
-    pub async fn orders(&self, address: Arc<str>, baton: u64, shift: u64, orders: Vec<Order>) -> OrdersReply {
+    pub async fn orders(&self, address: Arc<str>, token: u64, shift: u64, orders: Vec<Order>) -> OrdersReply {
         let Some(client) = self.client(&address) else { return OrdersReply::NotSent };
-        let body = wire::orders(baton, shift, &orders);
+        let body = wire::orders(token, shift, &orders);
         match client.call(Method::POST, "/orders", body, PATIENCE).await {
             Ok((status, body)) if matches!(status.as_u16(), 200 | 409) => match wire::report(&body) {
                 Ok(report) => OrdersReply::Answered(report),
--- a/crates/plankhead/src/driver.rs
+++ b/crates/plankhead/src/driver.rs
@@ -182,10 +182,10 @@
                 let client = self.cloud.clone();
                 self.spawn(async move { Event::Cloud { call, reply: cloud::call(&client, op).await } });
             }
-            Effect::Orders { call, address, baton, shift, orders } => {
+            Effect::Orders { call, address, token, shift, orders } => {
                 let agents = self.agents.clone();
                 self.spawn(async move {
-                    Event::Orders { call, reply: agents.orders(address, baton, shift, orders).await }
+                    Event::Orders { call, reply: agents.orders(address, token, shift, orders).await }
                 });
             }
             Effect::Pulse(pulse) => {
--- a/crates/plankhead/src/peer.rs
+++ b/crates/plankhead/src/peer.rs
@@ -36,7 +36,7 @@
     let message = PulseMessage {
         host: pulse.host.clone(),
         state_ok: pulse.state_ok,
-        baton: pulse.baton,
+        baton: pulse.token,
         progress: pulse.progress.iter().map(|p| (p.id.clone(), p.done, p.running)).collect(),
     };
     rkyv::to_bytes::<rkyv::rancor::Error>(&message).ok().map(|bytes| bytes.to_vec())
@@ -51,7 +51,7 @@
     Some(Pulse {
         host: message.host,
         state_ok: message.state_ok,
-        baton: message.baton,
+        token: message.baton,
         progress: progress.map(|(id, done, running)| Progress { id, done, running }).collect(),
     })
 }
@@ -207,7 +207,7 @@
         let pulse = Pulse {
             host: "plank-1".into(),
             state_ok: true,
-            baton: 41,
+            token: 41,
             progress: vec![progress("job-000412", 3, 13), progress("job-7", 0, 1)],
         };
         let bytes = encode(&pulse).unwrap();
--- a/crates/plankhead/src/tests/messages.rs
+++ b/crates/plankhead/src/tests/messages.rs
@@ -7,7 +7,7 @@
 #[test]
 fn pulses_are_checked() {
     let progress = vec![Progress { id: "job-1".into(), done: 3, running: 4 }];
-    let pulse = Pulse { host: "plank-1".into(), state_ok: true, baton: 7, progress };
+    let pulse = Pulse { host: "plank-1".into(), state_ok: true, token: 7, progress };
     let bytes = encode(&pulse).unwrap();
     assert_eq!(decode(&bytes), Some(pulse));
     assert_eq!(decode(&bytes[..bytes.len() - 3]), None);
--- a/crates/plankhead/src/wire.rs
+++ b/crates/plankhead/src/wire.rs
@@ -155,9 +155,9 @@
         Answer::Impossible(reason) => (422, error(reason), None),
         Answer::NotFound => (404, error("no such job"), None),
         Answer::Unavailable { retry } => (503, error("try again later"), Some(*retry)),
-        Answer::Beat { baton, orders } => {
+        Answer::Beat { token, orders } => {
             let orders = orders.iter().map(OrderMessage::from).collect();
-            (200, text(&ReportAnswer { baton: *baton, orders }), None)
+            (200, text(&ReportAnswer { baton: *token, orders }), None)
         }
         Answer::Elsewhere { foreman } => (421, text(&ElsewhereAnswer { foreman: foreman.as_deref() }), None),
         Answer::Relay { .. } => (421, text(&ElsewhereAnswer { foreman: None }), None),
@@ -329,7 +329,7 @@
         spot: beat.loaners,
         shift: beat.shift,
         tick,
-        baton: beat.baton,
+        token: beat.baton,
         warning,
         tasks: tasks.into(),
     };
@@ -374,9 +374,9 @@
     orders: Vec<OrderMessage<'a>>,
 }
 
-pub fn orders(baton: u64, shift: u64, orders: &[Order]) -> Vec<u8> {
+pub fn orders(token: u64, shift: u64, orders: &[Order]) -> Vec<u8> {
     let orders = orders.iter().map(OrderMessage::from).collect();
-    text(&OrdersMessage { baton, shift, orders })
+    text(&OrdersMessage { baton: token, shift, orders })
 }
 
 // ----- cloud -----
