--- /dev/null
+++ b/crates/plankhead-core/tests/portions.rs
@@ -0,0 +1,106 @@
+//! What may be done in one go on a small share of a core, and that portions change
+//! nothing of what a replay finds.
+
+use plankhead_core::easy::Slot;
+use plankhead_core::job::{Resources, Urgency};
+use plankhead_core::portions::Portions;
+use plankhead_core::queue::{TeamRoom, Work};
+use plankhead_core::replay::Replay;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1_000);
+
+/// Less of a core never allows more, every share allows something, and what a whole core
+/// may do in one go is bounded.
+#[test]
+fn smaller_shares_do_less_in_one_go() {
+    let shares = [0.001, 0.01, 0.019, 0.029, 0.1, 0.33, 1.0, 8.0];
+    for pair in shares.windows(2) {
+        let (less, more) = (Portions::new(pair[0]), Portions::new(pair[1]));
+        assert!(less.starts() >= 1 && less.starts() <= more.starts());
+        for machines in [1, 20, 185, 355, 2_000] {
+            let (few, many) = (less.replayed_passes(machines), more.replayed_passes(machines));
+            assert!(few >= 1 && few <= many, "{machines} machines on {}", pair[0]);
+            assert!(many * machines <= 14_000 || many == 1);
+        }
+    }
+    assert!(Portions::new(8.0).starts() <= 1_000);
+    assert!(Portions::new(0.019).starts() <= 100, "starts hold up the answers to reports");
+}
+
+/// A process that is behind replays less of the time, but goes on.
+#[test]
+fn replays_give_way_when_the_process_is_behind() {
+    for share in [0.019, 0.33] {
+        let portions = Portions::new(share);
+        let (usual, behind) = (portions.replay_pause(355, false), portions.replay_pause(355, true));
+        assert!(usual < behind && behind <= usual * 4, "{usual:?} {behind:?}");
+    }
+}
+
+/// The leader's key outlives a pause of one and a half seconds where reports may cause
+/// one, and no longer than needed elsewhere.
+#[test]
+fn the_leaders_lease_follows_the_share() {
+    assert!(Portions::new(0.019).leader_lease() > Duration::from_millis(1500));
+    assert_eq!(Portions::new(0.33).leader_lease(), Duration::from_millis(1500));
+}
+
+fn work(number: u64) -> Work {
+    let cpus = (number % 4 + 1) as f64;
+    Work {
+        team: 0,
+        urgency: if number % 3 == 0 { Urgency::Urgent } else { Urgency::Standard },
+        guaranteed: number % 2 == 0,
+        accepted: NOW - Duration::from_secs(number),
+        due: NOW + Duration::from_secs(number * 7 % 50),
+        again_by: NOW,
+        pools: vec![true],
+        zone_most: u32::MAX,
+        one_zone: false,
+        gang: false,
+        each: Resources { cpus, gpus: 0.0, ram: cpus },
+        image: (number % 5) as u32,
+        image_gb: 1.0,
+        estimate: Duration::from_secs(5 + number % 20),
+        pending: (number % 9 + 1) as u32,
+        begun: false,
+        zones: Vec::new(),
+    }
+}
+
+fn slot(number: usize) -> Slot {
+    Slot {
+        pool: 0,
+        zone: 0,
+        price: 1.0,
+        free: Resources { cpus: 6.0, gpus: 0.0, ram: 6.0 },
+        ready: NOW,
+        running: Vec::new(),
+        images: vec![number as u32 % 5],
+        fetching: 0,
+        pull_gb_per_s: 0.5,
+    }
+}
+
+/// A replay finds the same however small its portions are.
+#[test]
+fn portions_change_nothing_of_a_replay() {
+    let most = Resources { cpus: 60.0, gpus: 0.0, ram: 1e9 };
+    let team = TeamRoom { guarantee: most, cap: most, used: Resources::default() };
+    let slowdown = |passes: usize| {
+        let slots = (0..12).map(slot).collect();
+        let mut replay =
+            Replay::new(NOW, slots, (1..60).map(work).collect(), Vec::new(), vec![team.clone()], 3);
+        loop {
+            if let Some(found) = replay.advance(passes) {
+                return found;
+            }
+        }
+    };
+    let whole = slowdown(usize::MAX);
+    assert!(whole > 1.5, "{whole}");
+    for passes in [1, 2, 7, 40] {
+        assert_eq!(slowdown(passes), whole, "{passes} passes at a time");
+    }
+}
--- a/crates/plankhead-core/tests/upgrade.rs
+++ b/crates/plankhead-core/tests/upgrade.rs
@@ -224,7 +224,7 @@
     }
 }
 
-/// The version_barrier opens once every node has shown this version, and not for one that has
+/// The barrier opens once every node has shown this version, and not for one that has
 /// shown an earlier format; nothing closes it.
 #[test]
 fn gangs_wait_for_every_node() {
