--- a/crates/plankhead-core/tests/portions.rs
+++ b/crates/plankhead-core/tests/portions.rs
@@ -50,8 +50,8 @@
     let cpus = (number % 4 + 1) as f64;
     Work {
         team: 0,
-        urgency: if number % 3 == 0 { Urgency::Urgent } else { Urgency::Standard },
-        guaranteed: number % 2 == 0,
+        urgency: [Urgency::Urgent, Urgency::Standard, Urgency::Standard][(number % 3) as usize],
+        guaranteed: number & 1 == 0,
         accepted: NOW - Duration::from_secs(number),
         due: NOW + Duration::from_secs(number * 7 % 50),
         again_by: NOW,
