--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -69,6 +69,8 @@
     Deaf,
     /// It lost attempts that it had listed.
     Forgetful,
+    /// A former leader had begun to give it back.
+    Returning,
 }
 
 /// What a report is to this leader.
@@ -169,6 +171,8 @@
     pub rigs: BTreeMap<String, Rig>,
     pub machines: BTreeMap<HostName, Machine>,
     gone: BTreeSet<HostName>,
+    /// Machines whose return a former leader had begun, known or not.
+    returning: BTreeSet<HostName>,
     gone_order: VecDeque<HostName>,
     lessons: HashMap<Pool, Lesson>,
 }
@@ -187,6 +191,7 @@
         since: Duration,
         now: Duration,
     ) -> &mut Machine {
+        let leaving = self.returning.contains(name).then_some(Leaving::Returning);
         self.machines.entry(name.clone()).or_insert_with(|| Machine {
             name: name.clone(),
             address,
@@ -206,7 +211,7 @@
             slot: None,
             proven: false,
             errors: 0,
-            leaving: None,
+            leaving,
             full_until: Duration::ZERO,
             answered: None,
             asked: Vec::new(),
@@ -229,6 +234,16 @@
         }
     }
 
+    /// Machines whose return may be carried out at any time: nothing is placed there.
+    pub fn returning(&mut self, hosts: &[HostName]) {
+        for host in hosts.iter().filter(|host| !self.gone.contains(*host)) {
+            self.returning.insert(host.clone());
+            if let Some(machine) = self.machines.get_mut(host) {
+                machine.leaving.get_or_insert(Leaving::Returning);
+            }
+        }
+    }
+
     pub fn is_gone(&self, host: &HostName) -> bool {
         self.gone.contains(host)
     }
@@ -482,6 +497,7 @@
     /// The cloud confirmed the release.
     pub fn released(&mut self, name: &HostName) {
         self.machines.remove(name);
+        self.returning.remove(name);
         if self.gone.insert(name.clone()) {
             self.gone_order.push_back(name.clone());
         }
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -10,6 +10,7 @@
 impl Leader {
     pub fn tick(&mut self, times: Times, sight: Sight, requests: &mut RequestHandler, out: &mut Out) {
         let (now, firm) = (times.now, sight.firm);
+        self.duties.wall_ms = times.wall_ms();
         self.behind = sight.behind;
         if !sight.steady {
             self.shaken = Some(now);
@@ -33,6 +34,7 @@
                 self.judge_blind(now, sight);
                 self.release(now, sight, out);
             }
+            self.advance_duties(times, sight, out);
             self.list_hosts(now, out);
             return;
         }
@@ -62,6 +64,7 @@
         if self.to_lay {
             self.to_lay = self.ledger.lay_anew(tasks_per_chunk(self.settings.value_bytes));
         }
+        self.advance_duties(times, sight, out);
         if firm {
             self.flush(now, requests, out);
         }
@@ -101,7 +104,8 @@
         let waits = !self.ledger.placing.is_empty()
             || !self.ledger.closing.is_empty()
             || self.target_dirty
-            || self.to_lay;
+            || self.to_lay
+            || self.duties.wait();
         if self.round.is_some() {
             due = due.min(self.portion_due);
         }
--- /dev/null
+++ b/crates/plankhead-core/src/leader/duties.rs
@@ -0,0 +1,454 @@
+//! The leader's duties: what it asks of the cloud becomes durable first, and what a
+//! former leader left open is finished. `plankhead-fencing` decides; this carries its
+//! decisions to the state service and the cloud.
+
+use super::*;
+use crate::settings::Fencing;
+use plankhead_fencing::action::{Action, Rental, Return, ReturnCause};
+use plankhead_fencing::duty::{Duty, DutyKey, State};
+use plankhead_fencing::gate::{Gate, Permitted, Proof};
+use plankhead_fencing::log::{DutyLog, Limits, PageChange, WriteOutcome};
+use plankhead_fencing::record::{self, PageId};
+
+/// A failure to record a duty compels only while it is so fresh: a process that was
+/// paused after it asks again. The clock can only forbid here, never allow.
+const FRESH_FAILURE: Duration = Duration::from_secs(3);
+/// The pause before a return that failed is asked for again.
+const RETURN_RETRY: Duration = Duration::from_millis(500);
+/// Open duties that the operators' view lists.
+const MOST_SHOWN: usize = 100;
+
+/// A rental that the cloud refused, while an earlier copy of the request may still come.
+#[derive(Debug)]
+struct RefusedRental {
+    due: Duration,
+    name: String,
+    pool: Pool,
+    count: u32,
+}
+
+/// The duties of one term.
+#[derive(Debug)]
+pub(super) struct Duties {
+    settings: Fencing,
+    gate: Gate,
+    log: DutyLog,
+    /// Durable duties to be sent at once.
+    ready: VecDeque<DutyKey>,
+    /// Returns to be sent, or sent again, at these times.
+    returns_due: Vec<(Duration, DutyKey)>,
+    refused_rentals: Vec<RefusedRental>,
+    /// Returns that a cancellation or this leader's blindness forces, with whether only
+    /// blindness does.
+    forced: BTreeMap<DutyKey, bool>,
+    reading: BTreeSet<PageId>,
+    write_due: Duration,
+    tidy_due: Duration,
+    /// The time of day, for the records' readers.
+    pub(super) wall_ms: u64,
+}
+
+impl Duties {
+    pub(super) fn new(settings: &Settings, token: u64, now: Duration) -> Self {
+        let fencing = settings.fencing;
+        let limits = Limits {
+            value_bytes: settings.value_bytes,
+            changes: settings.txn_ops,
+            transaction_bytes: TXN_BYTES,
+        };
+        Self {
+            settings: fencing,
+            gate: if fencing.enabled { Gate::fenced(token) } else { Gate::open(token) },
+            log: DutyLog::new(token, limits),
+            ready: VecDeque::new(),
+            returns_due: Vec::new(),
+            refused_rentals: Vec::new(),
+            forced: BTreeMap::new(),
+            reading: BTreeSet::new(),
+            write_due: now,
+            tidy_due: now,
+            wall_ms: 0,
+        }
+    }
+
+    pub(super) fn fenced(&self) -> bool {
+        self.gate.is_fenced()
+    }
+
+    /// Whether something waits for the state service or for the cloud's rate.
+    pub(super) fn wait(&self) -> bool {
+        !self.ready.is_empty() || !self.log.doubtful().is_empty() || self.log.lacks_records()
+    }
+
+    /// How many machines one return names.
+    pub(super) fn returnable(&self, hosts: &[HostName], cause: ReturnCause) -> Return {
+        if self.fenced() {
+            return self.log.returnable(hosts, cause);
+        }
+        Return { hosts: hosts.iter().take(renting::MOST_RELEASED).cloned().collect(), cause }
+    }
+
+    /// What operators see of the duties.
+    pub(super) fn view(&self) -> serde_json::Value {
+        let counts = self.gate.counts();
+        let summary = self.log.summary();
+        let shown = |duty: &Duty| {
+            serde_json::json!({"key": duty.key.to_string(), "kind": duty.action.kind(),
+                "subject": duty.action.subject(), "holder": duty.holder, "state": duty.state().name(),
+                "attempts": duty.attempts, "ageS": self.wall_ms.saturating_sub(duty.intended_ms) as f64 / 1e3})
+        };
+        let open: Vec<_> = self.log.open_duties().take(MOST_SHOWN).map(shown).collect();
+        serde_json::json!({
+            "enabled": self.fenced(),
+            "passed": {"recorded": counts.recorded, "compelled": counts.compelled,
+                "unfenced": counts.unfenced, "refused": counts.refused},
+            "intended": summary.intended, "recorded": summary.recorded, "adopted": summary.adopted,
+            "issued": summary.issued, "confirmed": summary.confirmed, "abandoned": summary.abandoned,
+            "pages": summary.pages, "unreadablePages": summary.unreadable_pages,
+            "open": open,
+        })
+    }
+}
+
+impl Leader {
+    /// The one way to the cloud for whatever can't be taken back there. A repeat under the
+    /// same key with the same action is sent again.
+    pub(super) fn request(&mut self, key: DutyKey, action: Action, out: &mut Out) -> bool {
+        if !self.duties.fenced() {
+            self.pass_gate(&key, action, None, out);
+            return true;
+        }
+        use plankhead_fencing::log::Intent;
+        match self.duties.log.intend(key.clone(), action, self.duties.wall_ms) {
+            Ok(Intent::New) => true,
+            Ok(Intent::Repeat) => {
+                self.duties.ready.push_back(key);
+                true
+            }
+            Err(error) => {
+                out.log(Level::Error, format!("a duty was not taken: {error}"));
+                false
+            }
+        }
+    }
+
+    fn pass_gate(&mut self, key: &DutyKey, action: Action, proof: Option<Proof>, out: &mut Out) {
+        match self.duties.gate.pass(action, proof) {
+            Ok(permitted) => self.send_action(key, permitted, out),
+            Err(refusal) => out.log(Level::Error, format!("the gate refused {key}: {refusal}")),
+        }
+    }
+
+    fn send_action(&self, key: &DutyKey, permitted: Permitted, out: &mut Out) {
+        let leader_call = match permitted.action() {
+            Action::Rent(rental) => {
+                let Rental { name, machine_type, zone, spot, count } = rental.clone();
+                LeaderCall::Hire { name, pool: Pool { rig: machine_type, zone, spot }, count }
+            }
+            Action::Return(back) => LeaderCall::Release { hosts: back.hosts.clone(), duty: key.clone() },
+        };
+        out.cloud(Purpose::Leader(self.token, leader_call), CloudOp::Act(permitted));
+    }
+
+    /// Sends the duties that may go now.
+    fn send_ready(&mut self, out: &mut Out) {
+        for _ in 0..self.duties.ready.len() {
+            let Some(key) = self.duties.ready.pop_front() else { return };
+            match self.duties.log.issue(&key) {
+                Ok((action, proof)) => self.pass_gate(&key, action, Some(proof), out),
+                Err(error) => out.log(Level::Debug, format!("not sent: {error}")),
+            }
+        }
+    }
+
+    /// Makes duties durable, and sends those that are.
+    pub(super) fn advance_duties(&mut self, times: Times, sight: Sight, out: &mut Out) {
+        if !self.duties.fenced() {
+            return;
+        }
+        let now = times.now;
+        self.compel(now, sight, out);
+        self.retry_returns(now, sight);
+        self.retry_refused_rentals(now, out);
+        self.send_ready(out);
+        self.read_doubtful(now, out);
+        self.write_duties(now, sight, out);
+    }
+
+    /// A rule can't wait for a state service that fails: a cancelled task must be gone in
+    /// time. What was tried to be recorded in this very step, and failed, goes without.
+    fn compel(&mut self, now: Duration, sight: Sight, out: &mut Out) {
+        let forced: Vec<(DutyKey, bool)> = self.duties.forced.iter().map(|(k, b)| (k.clone(), *b)).collect();
+        for (key, blind) in forced {
+            let state = self.duties.log.duty(&key).map(Duty::state);
+            if state != Some(State::Intended) {
+                self.duties.forced.remove(&key);
+                continue;
+            }
+            let allowed = (!blind || sight.among_all) && self.cloud_near(now);
+            if allowed && self.duties.log.compel(&key) {
+                out.log(Level::Info, format!("duty {key} goes without its record: the state service fails"));
+                self.duties.forced.remove(&key);
+                self.duties.ready.push_back(key);
+            }
+        }
+        self.duties.log.forget_failures();
+    }
+
+    fn retry_returns(&mut self, now: Duration, sight: Sight) {
+        if !sight.firm && !self.cloud_near(now) {
+            return;
+        }
+        let due: Vec<(Duration, DutyKey)> = std::mem::take(&mut self.duties.returns_due);
+        for (at, key) in due {
+            if at <= now && self.cloud.take(now, 1) {
+                self.duties.ready.push_back(key);
+            } else {
+                self.duties.returns_due.push((at, key));
+            }
+        }
+    }
+
+    /// A rental that was refused may still be carried out from an earlier copy of its
+    /// request: only its name's success makes sure that no more machines come of it.
+    fn retry_refused_rentals(&mut self, now: Duration, out: &mut Out) {
+        let all = std::mem::take(&mut self.duties.refused_rentals);
+        for rental in all {
+            let key = DutyKey::new(&rental.name);
+            if rental.due > now {
+                self.duties.refused_rentals.push(rental);
+            } else if now.saturating_sub(self.began) > self.duties.settings.abandon_rental {
+                out.log(Level::Info, format!("rental {key} is given up: the cloud has no room for it"));
+                self.end_duty(&key, State::Abandoned, out);
+            } else {
+                self.hiring.push((rental.name.clone(), rental.pool.clone(), rental.count));
+                self.retry_hires.push((now, rental.name, rental.pool, rental.count));
+            }
+        }
+    }
+
+    fn read_doubtful(&mut self, now: Duration, out: &mut Out) {
+        if now < self.hold_until {
+            return;
+        }
+        for page in self.duties.log.doubtful() {
+            if self.duties.reading.insert(page) {
+                self.state(LeaderCall::ReadDuties { page, sent: now }, StateOp::Get { key: page.key() }, out);
+            }
+        }
+    }
+
+    fn write_duties(&mut self, now: Duration, sight: Sight, out: &mut Out) {
+        let urgent = !self.duties.forced.is_empty();
+        // Without the lease a write would only fail, which a forced return must know.
+        if !sight.firm && !urgent || now < self.hold_until {
+            return;
+        }
+        let tidy = sight.firm && now >= self.duties.tidy_due;
+        let lacks = self.duties.log.lacks_records();
+        let due = lacks && (urgent || now >= self.duties.write_due);
+        if !(due || tidy && self.duties.log.is_untidy()) {
+            return;
+        }
+        let most = self.writes.available(now).min(self.settings.txn_ops);
+        let Some(changes) =
+            (most > 0).then(|| self.duties.log.begin_write(most, tidy || !urgent && lacks)).flatten()
+        else {
+            return;
+        };
+        self.writes.take(now, changes.len());
+        self.duties.write_due = now + self.duties.settings.write_pause;
+        self.duties.tidy_due = now + self.duties.settings.tidy_pause;
+        let (conditions, changes) = self.duty_transaction(changes);
+        self.state(LeaderCall::WriteDuties { sent: now }, StateOp::Txn { conditions, changes }, out);
+    }
+
+    fn duty_transaction(&self, pages: Vec<PageChange>) -> (Vec<Condition>, Vec<Change>) {
+        let mut conditions = vec![self.lead()];
+        let mut changes = Vec::new();
+        for PageChange { page, expected, value } in pages {
+            let key = page.key();
+            conditions.push(Condition { key: key.clone(), stamp: expected });
+            changes.push(match value {
+                Some(value) => Change::Write { key, value, hold: None },
+                None => Change::Drop { key },
+            });
+        }
+        (conditions, changes)
+    }
+
+    /// The reply to a write of duties; false: somebody else leads.
+    pub(super) fn duties_written(
+        &mut self,
+        now: Duration,
+        sent: Duration,
+        reply: Result<StateReply, CallError>,
+        out: &mut Out,
+    ) -> bool {
+        let fresh = now.saturating_sub(sent) < FRESH_FAILURE;
+        let outcome = match reply {
+            Ok(StateReply::Committed { epoch }) => WriteOutcome::Committed { revision: epoch },
+            Ok(StateReply::Conflict { failed }) if failed.iter().any(|key| key == election::KEY) => {
+                return false;
+            }
+            Ok(StateReply::Conflict { .. }) => WriteOutcome::Conflict,
+            Err(CallError::Busy) => WriteOutcome::Busy,
+            Err(CallError::Refused | CallError::TooLarge) => WriteOutcome::Refused,
+            _ => WriteOutcome::Lost,
+        };
+        if matches!(outcome, WriteOutcome::Busy | WriteOutcome::Refused | WriteOutcome::Lost) {
+            self.hold_until = self.hold_until.max(now + PAUSE);
+        }
+        let durable = self.duties.log.end_write(outcome);
+        if !fresh {
+            self.duties.log.forget_failures();
+        }
+        self.duties.ready.extend(durable);
+        self.send_ready(out);
+        true
+    }
+
+    /// The reply to a question after a page's revision.
+    pub(super) fn duties_reread(
+        &mut self,
+        now: Duration,
+        page: PageId,
+        sent: Duration,
+        reply: Result<StateReply, CallError>,
+    ) {
+        self.duties.reading.remove(&page);
+        match reply {
+            Ok(StateReply::Got(row)) => self.duties.log.reread(page, row.map_or(0, |row| row.stamp)),
+            Err(CallError::Busy) => self.hold_until = now + PAUSE,
+            _ => {
+                self.hold_until = now + PAUSE;
+                if now.saturating_sub(sent) < FRESH_FAILURE {
+                    self.duties.log.reread_failed();
+                }
+            }
+        }
+    }
+
+    pub(super) fn list_duties(&mut self, out: &mut Out) {
+        let after = self.page_after.clone();
+        if after.is_none() {
+            self.duties.log.begin_reading();
+        }
+        self.state(LeaderCall::ListDuties, StateOp::List { prefix: record::PREFIX.into(), after }, out);
+    }
+
+    pub(super) fn loaded_duties(
+        &mut self,
+        times: Times,
+        reply: Result<StateReply, CallError>,
+        out: &mut Out,
+    ) {
+        let Ok(StateReply::Page { rows, truncated, .. }) = reply else {
+            return self.load_failed(times.now);
+        };
+        self.page_after = rows.last().map(|row| row.key.clone());
+        for row in &rows {
+            for fault in self.duties.log.inherit(&row.key, &row.value, row.stamp) {
+                out.log(Level::Error, format!("left alone: {fault}"));
+            }
+        }
+        if truncated {
+            return self.list_duties(out);
+        }
+        self.page_after = None;
+        self.read_target(out);
+    }
+
+    /// Takes up what former leaders left open, before anything is placed: their machines
+    /// are on their way out, and their rentals are asked for again under their names, which
+    /// rents nothing anew where they were carried out.
+    pub(super) fn adopt_duties(&mut self, now: Duration, out: &mut Out) {
+        let adopted: Vec<(DutyKey, Action)> =
+            self.duties.log.adopted().map(|duty| (duty.key.clone(), duty.action.clone())).collect();
+        for (key, action) in &adopted {
+            match action {
+                Action::Rent(rental) => {
+                    let Rental { name, machine_type, zone, spot, count } = rental.clone();
+                    let pool = Pool { rig: machine_type, zone, spot };
+                    self.hiring.push((name.clone(), pool.clone(), count));
+                    self.retry_hires.push((now, name, pool, count));
+                }
+                Action::Return(back) => {
+                    self.fleet.returning(&back.hosts);
+                    self.releasing.extend(back.hosts.iter().cloned());
+                    self.duties.returns_due.push((now, key.clone()));
+                }
+            }
+        }
+        if !adopted.is_empty() {
+            out.log(Level::Info, format!("adopts {} duties of former leaders", adopted.len()));
+        }
+    }
+
+    /// A duty is over.
+    fn end_duty(&mut self, key: &DutyKey, last: State, out: &mut Out) {
+        let ended = match last {
+            State::Abandoned => self.duties.log.abandon(key),
+            _ => self.duties.log.confirm(key),
+        };
+        if let Err(error) = ended {
+            out.log(Level::Error, error.to_string());
+        }
+    }
+
+    /// The cloud has carried a duty out, or said that it never will.
+    pub(super) fn confirm_duty(&mut self, key: &DutyKey, out: &mut Out) {
+        if self.duties.fenced() {
+            self.end_duty(key, State::Confirmed, out);
+        }
+    }
+
+    /// The cloud had no machines for a rental. Where another copy of the request may be
+    /// under way, it stays open.
+    pub(super) fn rental_refused(
+        &mut self,
+        now: Duration,
+        name: String,
+        pool: Pool,
+        count: u32,
+        out: &mut Out,
+    ) {
+        let key = DutyKey::new(&name);
+        let Some(duty) = self.duties.log.duty(&key) else { return };
+        if duty.holder == self.token && duty.attempts <= 1 {
+            return self.confirm_duty(&key, out);
+        }
+        let due = now + self.duties.settings.refused_rental_retry;
+        self.duties.refused_rentals.push(RefusedRental { due, name, pool, count });
+    }
+
+    /// A return got no answer: it is asked for again, under the same key.
+    pub(super) fn return_failed(&mut self, now: Duration, key: DutyKey) {
+        self.duties.returns_due.push((now + RETURN_RETRY, key));
+    }
+
+    /// Has machines returned; `forced`: a rule asks for it whatever the state service
+    /// does, `blind`: only since this leader can't see what was cancelled.
+    pub(super) fn return_machines(
+        &mut self,
+        leaving: &[(HostName, Leaving)],
+        (forced, blind): (bool, bool),
+        out: &mut Out,
+    ) {
+        let surplus = leaving.iter().all(|(_, why)| *why == Leaving::Surplus);
+        let cause = if surplus { ReturnCause::Surplus } else { ReturnCause::Reclaim };
+        let hosts: Vec<HostName> = leaving.iter().map(|(host, _)| host.clone()).collect();
+        let back = self.duties.returnable(&hosts, cause);
+        for (host, why) in leaving.iter().take(back.hosts.len()).filter(|(_, why)| *why != Leaving::Surplus) {
+            out.log(Level::Info, format!("gives back {host}: {why:?}"));
+        }
+        let key = self.duties.log.next_key();
+        let hosts = back.hosts.clone();
+        if !hosts.is_empty() && self.request(key.clone(), Action::Return(back), out) {
+            self.releasing.extend(hosts);
+            if forced && self.duties.fenced() {
+                self.duties.forced.insert(key, blind);
+            }
+        }
+    }
+}
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -2,6 +2,7 @@
 //! sizes the fleet. Whatever it writes fails once somebody else leads.
 
 mod clock;
+mod duties;
 mod placing;
 mod renting;
 mod replies;
@@ -28,6 +29,8 @@
 use crate::requests::RequestHandler;
 use crate::settings::{Settings, Team};
 use crate::sizing::Climb;
+use plankhead_fencing::duty::DutyKey;
+use plankhead_fencing::record::PageId;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -87,7 +90,9 @@
     ListJobs,
     ListChunks,
     ReadTarget,
-    Follow { sent: Duration },
+    Follow {
+        sent: Duration,
+    },
     Write(Batch),
     ReadChunk(JobId, u32),
     ReadJob(JobId),
@@ -95,9 +100,29 @@
     Archive(Vec<Final>),
     Target,
     Hosts,
-    Hire { name: String, pool: Pool, count: u32 },
-    Release(Vec<HostName>),
-    Orders { host: HostName, shift: u64, runs: Vec<(TaskId, u64)> },
+    Hire {
+        name: String,
+        pool: Pool,
+        count: u32,
+    },
+    Release {
+        hosts: Vec<HostName>,
+        duty: DutyKey,
+    },
+    /// Duties of former leaders.
+    ListDuties,
+    WriteDuties {
+        sent: Duration,
+    },
+    ReadDuties {
+        page: PageId,
+        sent: Duration,
+    },
+    Orders {
+        host: HostName,
+        shift: u64,
+        runs: Vec<(TaskId, u64)>,
+    },
 }
 
 /// A chunk as it is stored: of which job, whether laid anew, its number, its value
@@ -205,6 +230,7 @@
     hiring: Vec<(String, Pool, u32)>,
     retry_hires: Vec<(Duration, String, Pool, u32)>,
     releasing: BTreeSet<HostName>,
+    duties: duties::Duties,
     release_due: Duration,
     hosts_due: Duration,
     listing: bool,
@@ -281,6 +307,7 @@
             hiring: Vec::new(),
             retry_hires: Vec::new(),
             releasing: BTreeSet::new(),
+            duties: duties::Duties::new(&settings, token, now),
             release_due: now,
             hosts_due: now,
             listing: false,
--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -1,6 +1,7 @@
 //! The fleet's size: rounds, raises, renting and giving back.
 
 use super::*;
+use plankhead_fencing::action::{Action, Rental};
 
 /// Without a U of the operators, how far the fleet may grow under overload, as a
 /// multiple of what the guarantees would fill.
@@ -10,7 +11,7 @@
 const ROUND_BOOTS: f64 = 1.5;
 const LEAST_ROUND: Duration = Duration::from_secs(20);
 /// Machines in one release, by the protocol.
-const MOST_RELEASED: usize = 100;
+pub(super) const MOST_RELEASED: usize = 100;
 /// What a climb replays.
 #[derive(Debug)]
 struct Backlog {
@@ -365,15 +366,13 @@
         }
     }
 
-    pub(super) fn rent(&self, name: String, pool: Pool, count: u32, out: &mut Out) {
-        let op = CloudOp::Hire {
-            name: name.clone(),
-            rig: pool.rig.clone(),
-            zone: pool.zone.clone(),
-            spot: pool.spot,
-            count,
-        };
-        out.cloud(Purpose::Leader(self.token, LeaderCall::Hire { name, pool, count }), op);
+    fn rent(&mut self, name: String, pool: Pool, count: u32, out: &mut Out) {
+        let key = DutyKey::new(&name);
+        let Pool { rig: machine_type, zone, spot } = pool;
+        let rental = Rental { name: name.clone(), machine_type, zone, spot, count };
+        if !self.request(key, Action::Rent(rental), out) {
+            self.hiring.retain(|(hiring, ..)| *hiring != name);
+        }
     }
 
     /// Chooses the machines that go back: those above the target as they fall idle,
@@ -434,16 +433,16 @@
         };
         let machines = self.fleet.machines.values();
         let leaving = machines.filter_map(|m| m.leaving.filter(|w| may(*w)).map(|why| (m.name.clone(), why)));
-        let leaving: Vec<(HostName, Leaving)> =
+        let mut leaving: Vec<(HostName, Leaving)> =
             leaving.filter(|(host, _)| !self.releasing.contains(host)).take(MOST_RELEASED).collect();
+        // What a cancellation forces goes alone, so that it can go without its record where
+        // that can't be written.
+        let due = leaving.iter().any(|(_, why)| *why == Leaving::CancelDue);
+        if due && self.duties.fenced() {
+            leaving.retain(|(_, why)| *why == Leaving::CancelDue);
+        }
         if !leaving.is_empty() && self.cloud.take(now, 1) {
-            for (host, why) in leaving.iter().filter(|(_, why)| *why != Leaving::Surplus) {
-                out.log(Level::Info, format!("gives back {host}: {why:?}"));
-            }
-            let leaving: Vec<HostName> = leaving.into_iter().map(|(host, _)| host).collect();
-            self.releasing.extend(leaving.iter().cloned());
-            let leader_call = LeaderCall::Release(leaving.clone());
-            out.cloud(Purpose::Leader(self.token, leader_call), CloudOp::Release { hosts: leaving });
+            self.return_machines(&leaving, (due || !free, !due), out);
         }
     }
 }
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -17,6 +17,9 @@
             LeaderCall::ListJobs => self.loaded_jobs(times, reply, requests, out),
             LeaderCall::ListChunks => self.loaded_chunks(times, reply, out),
             LeaderCall::ReadTarget => self.loaded_target(times, reply, out),
+            LeaderCall::ListDuties => self.loaded_duties(times, reply, out),
+            LeaderCall::WriteDuties { sent } => return self.duties_written(now, sent, reply, out),
+            LeaderCall::ReadDuties { page, sent } => self.duties_reread(now, page, sent, reply),
             LeaderCall::Follow { sent } => {
                 self.following = false;
                 match reply {
@@ -183,17 +186,20 @@
             (LeaderCall::Hire { name, pool, count }, Ok(CloudReply::Hired(hosts))) => {
                 self.hiring.retain(|(n, ..)| *n != name);
                 self.fleet.hired(&hosts, &pool, count, now);
+                self.confirm_duty(&DutyKey::new(&name), out);
             }
-            (LeaderCall::Hire { name, pool, .. }, Ok(CloudReply::NoCapacity)) => {
+            (LeaderCall::Hire { name, pool, count }, Ok(CloudReply::NoCapacity)) => {
                 self.hiring.retain(|(n, ..)| *n != name);
                 self.fleet.refused(&pool, now);
                 out.log(Level::Debug, format!("no capacity in {} (spot: {})", pool.zone, pool.spot));
+                self.rental_refused(now, name, pool, count, out);
             }
             // In doubt, the same name is used again: it rents once at most.
             (LeaderCall::Hire { name, pool, count }, _) => {
                 self.retry_hires.push((now + PAUSE * 4, name, pool, count));
             }
-            (LeaderCall::Release(hosts), Ok(CloudReply::Released)) => {
+            (LeaderCall::Release { hosts, duty }, Ok(CloudReply::Released)) => {
+                self.confirm_duty(&duty, out);
                 for host in hosts {
                     self.releasing.remove(&host);
                     self.fleet.released(&host);
@@ -205,7 +211,10 @@
                 self.tell_urgent(now, out);
                 self.dirty = true;
             }
-            (LeaderCall::Release(hosts), _) => {
+            (LeaderCall::Release { duty, .. }, _) if self.duties.fenced() => {
+                self.return_failed(now, duty);
+            }
+            (LeaderCall::Release { hosts, .. }, _) => {
                 for host in hosts {
                     self.releasing.remove(&host);
                 }
--- a/crates/plankhead-core/src/leader/takeover.rs
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -16,7 +16,7 @@
         self.stage == Stage::Loading && !self.load_failed
     }
 
-    fn load_failed(&mut self, now: Duration) {
+    pub(super) fn load_failed(&mut self, now: Duration) {
         self.load_due = Some(now + PAUSE);
         self.load_failed = true;
     }
@@ -77,6 +77,13 @@
             return self.list_chunks(out);
         }
         self.page_after = None;
+        if self.duties.fenced() {
+            return self.list_duties(out);
+        }
+        self.read_target(out);
+    }
+
+    pub(super) fn read_target(&self, out: &mut Out) {
         self.state(LeaderCall::ReadTarget, StateOp::Get { key: TARGET.into() }, out);
     }
 
@@ -123,6 +130,7 @@
                 self.fleet.expect(&host, now);
             }
         }
+        self.adopt_duties(now, out);
         self.stage = Stage::Ready;
         let reports: Vec<Report> = self.fleet.machines.values().filter_map(|m| m.report.clone()).collect();
         for report in reports {
--- a/crates/plankhead-core/src/leader/view.rs
+++ b/crates/plankhead-core/src/leader/view.rs
@@ -119,6 +119,7 @@
             "blindS": now.saturating_sub(self.fresh).as_secs_f64(),
             "lateOrStuck": jobs,
             "gangsWaiting": gangs,
+            "fencing": self.duties.view(),
         })
     }
 }
--- a/crates/plankhead-core/src/protocol.rs
+++ b/crates/plankhead-core/src/protocol.rs
@@ -1,6 +1,7 @@
 //! Events that the core takes and effects that it asks for.
 
 use crate::job::{JobId, JobSpec, Phase};
+use plankhead_fencing::gate::Permitted;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -328,9 +329,11 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum CloudOp {
     Catalog,
-    List { after: Option<HostName> },
-    Hire { name: String, rig: String, zone: String, spot: bool, count: u32 },
-    Release { hosts: Vec<HostName> },
+    List {
+        after: Option<HostName>,
+    },
+    /// What can't be taken back, once it has passed the gate.
+    Act(Permitted),
 }
 
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/plankhead-core/src/settings.rs
+++ b/crates/plankhead-core/src/settings.rs
@@ -38,6 +38,32 @@
     }
 }
 
+/// Whether and how the leader's duties are fenced.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Fencing {
+    pub enabled: bool,
+    /// Between two writes of intentions, unless a rule presses.
+    pub write_pause: Duration,
+    /// Between two writes that only remove records of what is over.
+    pub tidy_pause: Duration,
+    /// Until a refused rental that may still be carried out is asked for again.
+    pub refused_rental_retry: Duration,
+    /// How long after a takeover such a rental is given up.
+    pub abandon_rental: Duration,
+}
+
+impl Default for Fencing {
+    fn default() -> Self {
+        Self {
+            enabled: false,
+            write_pause: Duration::from_millis(100),
+            tidy_pause: Duration::from_secs(5),
+            refused_rental_retry: Duration::from_secs(15),
+            abandon_rental: Duration::from_secs(600),
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct Settings {
     pub host: String,
@@ -64,6 +90,7 @@
     pub list_lag: Duration,
     pub clock_off: Duration,
     pub sizing: Sizing,
+    pub fencing: Fencing,
 }
 
 /// What a worker that got no answer needs until it is heard again: 4 s to notice,
--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -6,7 +6,7 @@
 use plankhead_core::job::{JobId, JobRecord, JobSpec, Phase, Resources, Urgency};
 use plankhead_core::ledger::Ledger;
 use plankhead_core::protocol::*;
-use plankhead_core::settings::{Settings, Sizing};
+use plankhead_core::settings::{Fencing, Settings, Sizing};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -104,6 +104,7 @@
         list_lag: Duration::from_secs(3),
         clock_off: Duration::from_millis(100),
         sizing: Sizing::default(),
+        fencing: Fencing::default(),
     }
 }
 
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -5,7 +5,8 @@
 use plankhead_core::job::{JobId, JobRecord, JobSpec, Phase, Resources, Urgency};
 use plankhead_core::node::{Node, Times};
 use plankhead_core::protocol::*;
-use plankhead_core::settings::{Settings, Sizing, Team};
+use plankhead_core::settings::{Fencing, Settings, Sizing, Team};
+use plankhead_fencing::action::Action;
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
@@ -63,6 +64,7 @@
         list_lag: Duration::from_secs(3),
         clock_off: ms(100),
         sizing: Sizing::default(),
+        fencing: Fencing::default(),
     }
 }
 
@@ -95,6 +97,17 @@
     }
 }
 
+/// The machines that a call to the cloud gives back.
+fn released(effect: &Effect) -> Option<&[HostName]> {
+    match effect {
+        Effect::Cloud { op: CloudOp::Act(permitted), .. } => match permitted.action() {
+            Action::Return(back) => Some(&back.hosts),
+            Action::Rent(_) => None,
+        },
+        _ => None,
+    }
+}
+
 struct Bench {
     node: Node,
     now: Duration,
@@ -261,7 +274,7 @@
     bench.loads_placements();
     // Nothing is heard of the machine: it goes back in time.
     bench.lives(Duration::from_secs(36));
-    let released = |e: &Effect| matches!(e, Effect::Cloud { op: CloudOp::Release { hosts }, .. } if hosts.iter().any(|h| &**h == "i-1"));
+    let released = |e: &Effect| released(e).is_some_and(|hosts| hosts.iter().any(|h| &**h == "i-1"));
     assert!(bench.effects.iter().any(released), "the machine was not given back");
 }
 
@@ -278,7 +291,7 @@
     bench.lives(ms(900));
     bench.beat(30, 7);
     bench.lives(ms(900));
-    let released = |e: &Effect| matches!(e, Effect::Cloud { op: CloudOp::Release { .. }, .. });
+    let released = |e: &Effect| released(e).is_some();
     assert!(!bench.effects.iter().any(released), "the machine was given back");
 }
 
@@ -290,7 +303,7 @@
     bench.wins(41);
     bench.reply(lists("job/"), Err(CallError::Refused));
     bench.beat(1, 7);
-    let released = |e: &Effect| matches!(e, Effect::Cloud { op: CloudOp::Release { hosts }, .. } if hosts.iter().all(|h| &**h == "i-1"));
+    let released = |e: &Effect| released(e).is_some_and(|hosts| hosts.iter().all(|h| &**h == "i-1"));
     for tick in 0..30 {
         // Two others go on reporting, a sibling is there and does not lead.
         for host in ["i-2", "i-3"] {
--- a/crates/plankhead-core/tests/upgrade.rs
+++ b/crates/plankhead-core/tests/upgrade.rs
@@ -12,7 +12,7 @@
 use plankhead_core::ledger::{tasks_per_chunk, Ledger, TaskState};
 use plankhead_core::node::Out;
 use plankhead_core::protocol::*;
-use plankhead_core::settings::{Settings, Sizing};
+use plankhead_core::settings::{Fencing, Settings, Sizing};
 use plankhead_core::version_barrier::{Step, VersionBarrier};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -221,6 +221,7 @@
         list_lag: Duration::from_secs(3),
         clock_off: Duration::ZERO,
         sizing: Sizing::default(),
+        fencing: Fencing::default(),
     }
 }
 
--- /dev/null
+++ b/crates/plankhead-core/tests/world/fencing.rs
@@ -0,0 +1,158 @@
+//! Processes that are paused, clocks that disagree, and what the cloud did for whom.
+//!
+//! The check is independent of the code under test: it reads the stored records as plain
+//! JSON, and knows from the model itself who held the lease when.
+
+use super::*;
+use plankhead_fencing::action::Action;
+use plankhead_fencing::gate::Basis;
+use serde_json::Value;
+
+/// Who decided on a call: which process, and the lease's revision that it held then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Actor {
+    pub node: usize,
+    pub boot: u64,
+    /// 0: it held no lease.
+    pub term: u64,
+}
+
+/// What the cloud did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Effects {
+    /// Rentals and returns that changed something.
+    pub all: u32,
+    /// Of these, the ones whose actor held the lease no more.
+    pub of_former: u32,
+    /// Of these, the ones that no open record in the state service names: stale ones.
+    pub stale: u32,
+    /// Effects without a record, since a rule forced them; and the stale ones of them.
+    pub compelled: u32,
+    pub compelled_stale: u32,
+}
+
+/// How a node's clocks run.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    /// Seconds of its steady clock in a second.
+    pub rate: f64,
+    /// How far its time of day jumps about.
+    pub jumps: Duration,
+}
+
+pub const TRUE_CLOCK: Clock = Clock { rate: 1.0, jumps: Duration::ZERO };
+
+impl World {
+    /// Pauses a process. `holding`: also what it has decided in this very moment leaves
+    /// only when it goes on.
+    pub(super) fn freeze(&mut self, node: usize, last: Duration, holding: bool) {
+        let Some((boot, _)) = &self.nodes[node] else { return };
+        let boot = *boot;
+        self.freezes += 1;
+        self.frozen[node] = self.frozen[node].max(self.now + last);
+        self.holding[node] = holding;
+        self.at(self.frozen[node] - self.now, Happening::Thaw { node, boot });
+    }
+
+    pub(super) fn thaw(&mut self, node: usize, boot: u64) {
+        if self.now < self.frozen[node] {
+            return;
+        }
+        self.holding[node] = false;
+        let batch = std::mem::take(&mut self.backlog[node]);
+        if self.alive(node, boot) {
+            self.step(node, batch);
+        }
+    }
+
+    /// The times that a node's clocks show.
+    pub(super) fn times(&mut self, node: usize) -> Times {
+        let Clock { rate, jumps } = self.clocks[node];
+        let now = EPOCH + (self.now - EPOCH).mul_f64(rate);
+        let jumps = jumps.as_millis() as u64;
+        let jump = if jumps > 0 { self.between(0, jumps) } else { Duration::ZERO };
+        Times { now, wall: SystemTime::UNIX_EPOCH + self.now + jump }
+    }
+
+    /// When a time on a node's clock is.
+    pub(super) fn true_time(&self, node: usize, at: Duration) -> Duration {
+        EPOCH + at.saturating_sub(EPOCH).div_f64(self.clocks[node].rate)
+    }
+
+    /// Who acts, if the node does so now.
+    pub(super) fn actor(&self, node: usize, boot: u64) -> Actor {
+        let holds = self.kv.value("lead").and_then(|text| serde_json::from_str::<Value>(text).ok());
+        let holds = holds
+            .is_some_and(|lease| lease["host"] == format!("plank-{node}").as_str() && lease["boot"] == boot);
+        let term = if holds { self.kv.stamp("lead").unwrap_or(0) } else { 0 };
+        Actor { node, boot, term }
+    }
+
+    /// Counts what the cloud is about to do for an actor.
+    pub(super) fn count_effects(&mut self, actor: Actor, op: &CloudOp) {
+        let CloudOp::Act(permitted) = op else { return };
+        let subjects: Vec<(&str, bool)> = match permitted.action() {
+            Action::Rent(rental) => {
+                let done = self.hires.contains_key(&rental.name);
+                if done {
+                    Vec::new()
+                } else {
+                    vec![(rental.name.as_str(), true)]
+                }
+            }
+            Action::Return(back) => {
+                let there = back.hosts.iter().filter(|host| self.workers.contains_key(*host));
+                there.map(|host| (host.as_ref(), false)).collect()
+            }
+        };
+        let holder = actor.term > 0 && self.kv.stamp("lead") == Some(actor.term);
+        let compelled = permitted.basis() == Basis::Compelled;
+        let covered: Vec<bool> =
+            subjects.iter().map(|(subject, rental)| self.recorded(subject, *rental)).collect();
+        for covered in covered {
+            self.effects.all += 1;
+            self.effects.compelled += u32::from(compelled);
+            if holder {
+                continue;
+            }
+            self.effects.of_former += 1;
+            match (covered, compelled) {
+                (true, _) => {}
+                (false, true) => self.effects.compelled_stale += 1,
+                (false, false) => self.effects.stale += 1,
+            }
+        }
+    }
+
+    /// Whether an open record in the state service names the rental or the machine.
+    fn recorded(&self, subject: &str, rental: bool) -> bool {
+        let pages = self.kv.values("duty/").map(|text| serde_json::from_str::<Value>(text).unwrap());
+        let duties = pages.flat_map(|page| page["duties"].as_array().cloned().unwrap_or_default());
+        let names = |duty: &Value| match (rental, duty["kind"].as_str()) {
+            (true, Some("rent")) => duty["name"] == subject,
+            (false, Some("return" | "reclaim")) => {
+                duty["hosts"].as_array().is_some_and(|hosts| hosts.iter().any(|host| host == subject))
+            }
+            _ => false,
+        };
+        duties.into_iter().any(|duty| names(&duty))
+    }
+
+    /// Nobody calls a job off: clocks far beyond their bounds can't keep its time.
+    pub fn without_cancellations(&mut self) {
+        self.happenings.retain(|_, happening| !matches!(happening, Happening::Abort { .. }));
+    }
+
+    /// Something writes into the state service.
+    pub fn put(&mut self, key: &str, value: &str) {
+        let changes = vec![Change::Write { key: key.into(), value: value.into(), hold: None }];
+        let reply = self.kv.apply(self.now, StateOp::Txn { conditions: Vec::new(), changes });
+        assert!(matches!(reply, Ok(StateReply::Committed { .. })));
+    }
+
+    /// Open records in the state service.
+    pub fn records(&self) -> usize {
+        let pages = self.kv.values("duty/").map(|text| serde_json::from_str::<Value>(text).unwrap());
+        pages.map(|page| page["duties"].as_array().map_or(0, Vec::len)).sum()
+    }
+}
--- a/crates/plankhead-core/tests/world/kv.rs
+++ b/crates/plankhead-core/tests/world/kv.rs
@@ -47,6 +47,12 @@
         self.keys.get(key).map(|v| v.text.as_str())
     }
 
+    /// The values of the keys that begin so.
+    pub fn values(&self, prefix: &str) -> impl Iterator<Item = &str> {
+        let prefix = prefix.to_owned();
+        self.keys.iter().filter(move |(key, _)| key.starts_with(&prefix)).map(|(_, v)| v.text.as_str())
+    }
+
     /// How many tasks of the job have a placement in this attempt.
     pub fn placed(&self, id: &str, attempt: u64) -> u32 {
         let prefix = format!("run/{id}/");
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -2,16 +2,18 @@
 //! cloud, workers and users, as the protocol describes them, with their
 //! troubles. It knows all, and asserts the rules at every step.
 
+mod fencing;
 mod gang;
 mod kv;
 mod script;
 mod worker;
 
+pub use fencing::{Clock, Effects, TRUE_CLOCK};
 use kv::Kv;
 use plankhead_core::job::{JobId, JobSpec, Resources, Urgency};
 use plankhead_core::node::{Node, Times};
 use plankhead_core::protocol::*;
-use plankhead_core::settings::{Settings, Sizing, Team};
+use plankhead_core::settings::{Fencing, Settings, Sizing, Team};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 pub use script::{Blow, Moment, Odd};
@@ -44,6 +46,8 @@
     pub crowd: u32,
     /// How often the rules about all that runs are looked at.
     pub look: Duration,
+    /// Whether the nodes fence their duties.
+    pub fenced: bool,
 }
 
 /// A few machines that report every second.
@@ -61,6 +65,7 @@
     page: 500,
     crowd: 1,
     look: Duration::ZERO,
+    fenced: false,
 };
 
 /// Hundreds of machines that report seldom and fail by the dozen.
@@ -78,6 +83,7 @@
     page: 100,
     crowd: 40,
     look: ms(250),
+    fenced: false,
 };
 
 pub const fn ms(n: u64) -> Duration {
@@ -177,12 +183,25 @@
         op: StateOp,
         answered: bool,
     },
+    /// A process is paused, and goes on.
+    Freeze {
+        node: usize,
+        last: Duration,
+    },
+    Thaw {
+        node: usize,
+        boot: u64,
+    },
+    /// What a process had decided when it was paused.
+    Perform {
+        actor: fencing::Actor,
+        effect: Box<Effect>,
+    },
     FollowEnds {
         watch: u64,
     },
     CloudArrives {
-        node: usize,
-        boot: u64,
+        actor: fencing::Actor,
         call: Call,
         op: CloudOp,
         answered: bool,
@@ -459,6 +478,14 @@
     unreadable: Duration,
     /// Until when a zone is cut off.
     zone_cut: BTreeMap<&'static str, Duration>,
+    /// Until when each process is paused, and what came for it meanwhile.
+    frozen: [Duration; 3],
+    holding: [bool; 3],
+    backlog: [Vec<Event>; 3],
+    pub freezes: u32,
+    pub clocks: [Clock; 3],
+    /// What the cloud did, and for whom.
+    pub effects: Effects,
 }
 
 /// The zone of a node.
@@ -499,6 +526,7 @@
         list_lag: secs(3),
         clock_off: ms(100),
         sizing: Sizing { threshold: 1.5, interval: Some(secs(20)), capacity: Some(capacity) },
+        fencing: Fencing { enabled: kind.fenced, ..Fencing::default() },
     }
 }
 
@@ -507,7 +535,8 @@
         Self::of(SMALL, seed, troubles)
     }
 
-    pub fn of(kind: Kind, seed: u64, troubles: Troubles) -> Self {
+    pub fn of(mut kind: Kind, seed: u64, troubles: Troubles) -> Self {
+        kind.fenced |= std::env::var_os("WORLD_FENCED").is_some();
         let mut world = Self {
             now: EPOCH,
             rng: StdRng::seed_from_u64(seed),
@@ -553,6 +582,12 @@
             unreadable: Duration::ZERO,
             clears: false,
             lag: Duration::ZERO,
+            frozen: [Duration::ZERO; 3],
+            holding: [false; 3],
+            backlog: Default::default(),
+            freezes: 0,
+            clocks: [TRUE_CLOCK; 3],
+            effects: Effects::default(),
         };
         for node in 0..3 {
             world.at(ms(10 * node as u64), Happening::Start { node });
@@ -802,6 +837,8 @@
                 self.nodes[node] =
                     Some((boot, Node::new(settings(&self.kind, node, boot, self.capacity, self.old[node]))));
                 self.wakes[node] = self.now + ms(1);
+                self.frozen[node] = Duration::ZERO;
+                self.backlog[node].clear();
                 self.at(ms(1), Happening::Tick { node, boot });
             }
             Happening::Crash { node } => {
@@ -852,7 +889,9 @@
                     self.reply_state(watch.node, watch.boot, watch.call, reply);
                 }
             }
-            Happening::CloudArrives { node, boot, call, op, answered } => {
+            Happening::CloudArrives { actor, call, op, answered } => {
+                let fencing::Actor { node, boot, .. } = actor;
+                self.count_effects(actor, &op);
                 let reply = self.cloud(op);
                 let event = Event::Cloud { call, reply: if answered { reply } else { Err(CallError::Lost) } };
                 let pause = if answered { ms(50) } else { secs(3) };
@@ -861,6 +900,13 @@
             Happening::OrdersArrive { node, boot, call, host, token, shift, orders } => {
                 self.orders_arrive(node, boot, call, host, token, shift, orders);
             }
+            Happening::Freeze { node, last } => self.freeze(node, last, false),
+            Happening::Thaw { node, boot } => self.thaw(node, boot),
+            Happening::Perform { actor, effect } => {
+                if self.alive(actor.node, actor.boot) {
+                    self.perform(actor, *effect);
+                }
+            }
             Happening::Beat { host } => self.beat(host),
             Happening::BeatAnswered { host, sent, shift, tick, answer } => {
                 self.beat_answered(host, sent, shift, tick, answer);
@@ -1045,25 +1091,36 @@
 
     fn step(&mut self, node: usize, batch: Vec<Event>) {
         let now = self.now;
-        let wall = SystemTime::UNIX_EPOCH + now;
+        if now < self.frozen[node] {
+            return self.backlog[node].extend(batch);
+        }
+        let times = self.times(node);
         let Some((boot, core)) = &mut self.nodes[node] else { return };
         let boot = *boot;
         core.lags(self.lag);
-        let effects = core.step(Times { now, wall }, batch);
-        let wake = if self.on_demand { core.next_wake(now) } else { now + ms(100) };
+        let effects = core.step(times, batch);
+        let asked = core.next_wake(times.now);
+        let wake = if self.on_demand { self.true_time(node, asked) } else { now + ms(100) };
         let due = self.wakes[node] <= now;
         if due || (self.on_demand && wake < self.wakes[node]) {
             self.wakes[node] = wake;
             self.at(wake - now, Happening::Tick { node, boot });
         }
+        let actor = self.actor(node, boot);
         for effect in effects {
-            self.perform(node, boot, effect);
+            if self.holding[node] && now < self.frozen[node] {
+                let effect = Box::new(effect);
+                self.at(self.frozen[node] - now, Happening::Perform { actor, effect });
+            } else {
+                self.perform(actor, effect);
+            }
         }
     }
 
     /// What a cut node sends is held, carried out when the cut ends, and never
     /// answered.
-    fn perform_cut(&mut self, node: usize, boot: u64, effect: Effect, held: Duration) {
+    fn perform_cut(&mut self, actor: fencing::Actor, effect: Effect, held: Duration) {
+        let fencing::Actor { node, boot, .. } = actor;
         let reply = match effect {
             Effect::State { call, op } => {
                 if !matches!(op, StateOp::Follow { .. }) {
@@ -1072,7 +1129,7 @@
                 Event::State { call, reply: Err(CallError::Lost) }
             }
             Effect::Cloud { call, op } => {
-                self.at(held, Happening::CloudArrives { node, boot, call, op, answered: false });
+                self.at(held, Happening::CloudArrives { actor, call, op, answered: false });
                 Event::Cloud { call, reply: Err(CallError::Lost) }
             }
             Effect::Orders { call, address, token, shift, orders } => {
@@ -1086,7 +1143,8 @@
         self.at(ms(1200), Happening::ToNode { node, boot, event: reply });
     }
 
-    fn perform(&mut self, node: usize, boot: u64, effect: Effect) {
+    fn perform(&mut self, actor: fencing::Actor, effect: Effect) {
+        let fencing::Actor { node, boot, .. } = actor;
         let inside = match &effect {
             Effect::Answer { ask, .. } => match self.asks.get(&(node, boot, *ask)) {
                 Some((_, Asked::Beat { host, .. })) => self.inside(node, host),
@@ -1098,7 +1156,7 @@
         };
         if self.now < self.node_cut[node] && !inside {
             let held = self.node_cut[node] - self.now;
-            return self.perform_cut(node, boot, effect, held);
+            return self.perform_cut(actor, effect, held);
         }
         if self.clears && self.now > self.calm {
             let t = &mut self.troubles;
@@ -1117,6 +1175,7 @@
             // The version before knows nothing of this.
             Effect::State { op, .. } if self.old[node] && touches(&op, "node/") => {}
             Effect::State { call, op } => {
+                self.duty_sent(&op);
                 let listed = matches!(op, StateOp::List { .. }) && self.now < self.unreadable;
                 let refused = self.now < self.outage || self.now < self.refused[node] || listed;
                 if refused && !matches!(op, StateOp::Follow { .. }) {
@@ -1142,9 +1201,16 @@
                 self.at(delay, Happening::StateArrives { node, boot, call, op, answered: !lost });
             }
             Effect::Cloud { call, op } => {
+                if matches!(op, CloudOp::Act(_)) {
+                    self.moment(Moment::CloudCalled);
+                }
+                if self.holding[node] && self.now < self.frozen[node] {
+                    let effect = Box::new(Effect::Cloud { call, op });
+                    return self.at(self.frozen[node] - self.now, Happening::Perform { actor, effect });
+                }
                 let answered = !self.chance(self.troubles.lost);
                 let delay = if answered { ms(100) } else { self.between(100, 20_000) };
-                self.at(delay, Happening::CloudArrives { node, boot, call, op, answered });
+                self.at(delay, Happening::CloudArrives { actor, call, op, answered });
             }
             Effect::Orders { call, address, token, shift, orders } => {
                 let starts = orders.iter().any(|o| matches!(o, Order::Run { .. }));
--- a/crates/plankhead-core/tests/world/script.rs
+++ b/crates/plankhead-core/tests/world/script.rs
@@ -20,6 +20,12 @@
     Accepted,
     /// A user heard that the job is cancelled.
     Cancelled,
+    /// A leader sends the record of a duty.
+    DutySent,
+    /// The state service wrote a record of duties.
+    DutyWritten,
+    /// A leader asks the cloud for what can't be taken back.
+    CloudCalled,
 }
 
 /// A moment, how many more of them until it counts, and what happens so long after.
@@ -32,6 +38,10 @@
     Refuse(Duration),
     /// It loses the state service and the other nodes, not its workers or users.
     Adrift(Duration),
+    /// It is paused.
+    Freeze(Duration),
+    /// It is paused with what it has just decided unsent.
+    FreezeHolding(Duration),
     /// It loses the network.
     Cut(Duration),
     /// It ends and is back after this time.
@@ -64,6 +74,14 @@
         self.at(at, happening);
     }
 
+    pub(super) fn duty_sent(&mut self, op: &StateOp) {
+        let StateOp::Txn { changes, .. } = op else { return };
+        let duty = |change: &Change| matches!(change, Change::Write { key, .. } if key.starts_with("duty/"));
+        if changes.iter().any(duty) {
+            self.moment(Moment::DutySent);
+        }
+    }
+
     pub(super) fn moment(&mut self, moment: Moment) {
         let mut due = Vec::new();
         for (which, left, then) in &mut self.scripts {
@@ -75,6 +93,11 @@
             }
         }
         for (after, happening) in due {
+            // Between a decision and its call there is no later moment.
+            if let (true, Happening::Leader(blow @ Blow::FreezeHolding(_))) = (after.is_zero(), &happening) {
+                self.blow(*blow);
+                continue;
+            }
             self.at(after, happening);
         }
     }
@@ -101,7 +124,9 @@
     pub(super) fn carried_out(&mut self, changes: &[Change]) {
         for change in changes {
             let Change::Write { key, value, .. } = change else { continue };
-            if key.starts_with("run/") {
+            if key.starts_with("duty/") {
+                self.moment(Moment::DutyWritten);
+            } else if key.starts_with("run/") {
                 self.moment(Moment::Placed);
             } else if key.starts_with("job/") && value.contains("\"phase\":\"done\"") {
                 self.moment(Moment::Finished);
@@ -118,6 +143,8 @@
                 self.refused[node] = now + last;
                 self.alone[node] = now + last;
             }
+            Blow::Freeze(last) => self.freeze(node, last, false),
+            Blow::FreezeHolding(last) => self.freeze(node, last, true),
             Blow::Cut(last) => self.node_cut[node] = now + last,
             Blow::End(last) => {
                 if self.nodes[node].take().is_some() {
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -2,6 +2,7 @@
 //! has them; and the rules.
 
 use super::*;
+use plankhead_fencing::action::{Action, Rental};
 
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -111,7 +112,13 @@
                 hosts.truncate(self.kind.page);
                 CloudReply::Page { hosts, truncated }
             }
-            CloudOp::Hire { name, zone, spot, count, .. } => {
+            CloudOp::Act(permitted) => return self.act(permitted.action().clone()),
+        })
+    }
+
+    fn act(&mut self, action: Action) -> Result<CloudReply, CallError> {
+        Ok(match action {
+            Action::Rent(Rental { name, zone, spot, count, .. }) => {
                 if let Some(hosts) = self.hires.get(&name) {
                     return Ok(CloudReply::Hired(hosts.clone()));
                 }
@@ -156,8 +163,8 @@
                 self.hires.insert(name, hosts.clone());
                 CloudReply::Hired(hosts)
             }
-            CloudOp::Release { hosts } => {
-                for host in hosts.iter().filter(|_| !self.troubles.lying_cloud) {
+            Action::Return(back) => {
+                for host in back.hosts.iter().filter(|_| !self.troubles.lying_cloud) {
                     let worker = self.workers.remove(host).filter(|w| w.up(self.now));
                     self.killed_by_release += worker.map_or(0, |w| w.runs().count());
                 }
--- /dev/null
+++ b/crates/plankhead-fencing/src/log.rs
@@ -0,0 +1,443 @@
+//! The duties of one lease holder, its own and those that it inherited, and when which
+//! record of them is to be written. Everything about the state service is decided here
+//! and carried out by the caller.
+
+use crate::action::{Action, Digest, Return, ReturnCause, MAX_RETURN_HOSTS};
+use crate::duty::{BadTransition, Duty, DutyKey, State};
+use crate::gate::{Basis, Proof};
+use crate::page::Page;
+use crate::record::{self, PageId, RecordFault, PAGE_OVERHEAD};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use thiserror::Error;
+
+/// Open duties at most: the cloud's rate allows a few a second.
+pub const MAX_OPEN_DUTIES: usize = 1_000;
+/// Keys of duties that are over which are remembered, to refuse their reuse.
+const MAX_REMEMBERED: usize = 4_096;
+/// Bytes of a return's record beside its machines.
+const RETURN_OVERHEAD: usize = 200;
+/// Bytes of a machine's name in a record, beside the name.
+const HOST_OVERHEAD: usize = 3;
+
+/// What the state service takes.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Bytes of a value.
+    pub value_bytes: usize,
+    /// Changes of a transaction.
+    pub changes: usize,
+    /// Bytes of a transaction.
+    pub transaction_bytes: usize,
+}
+
+/// Whether an intention was new.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Intent {
+    New,
+    /// The same action stands under this key already, or stood there.
+    Repeat,
+}
+
+/// Why an intention is not taken.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum IntentError {
+    #[error("the key {key} was used for another action")]
+    KeyReused { key: DutyKey },
+    #[error("the record of {key} takes {bytes} bytes, more than a value holds")]
+    TooLarge { key: DutyKey, bytes: usize },
+    #[error("{MAX_OPEN_DUTIES} duties are open")]
+    TooMany,
+}
+
+/// Why a duty may not be issued.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum NotIssued {
+    #[error("there is no open duty {0}")]
+    Unknown(DutyKey),
+    #[error("the record of {0} is not durable")]
+    NotDurable(DutyKey),
+    #[error(transparent)]
+    State(#[from] BadTransition),
+}
+
+/// A change of one page, under the condition that its key has the expected revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PageChange {
+    pub page: PageId,
+    pub expected: u64,
+    /// The new value; none: the page goes.
+    pub value: Option<String>,
+}
+
+/// What came of a write of pages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WriteOutcome {
+    Committed {
+        revision: u64,
+    },
+    /// A page had another revision: nothing was changed.
+    Conflict,
+    /// Certainly not carried out, and may be asked again soon.
+    Busy,
+    /// Certainly not carried out: the state service fails this holder.
+    Refused,
+    /// No answer: it may have been carried out, or may be later.
+    Lost,
+}
+
+/// How many duties are in which state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Summary {
+    pub intended: usize,
+    pub recorded: usize,
+    pub adopted: usize,
+    pub issued: usize,
+    pub confirmed: u64,
+    pub abandoned: u64,
+    pub pages: usize,
+    pub unreadable_pages: usize,
+}
+
+#[derive(Debug)]
+struct Entry {
+    duty: Duty,
+    page: PageId,
+    /// Why it may be issued; none: it may not yet.
+    basis: Option<Basis>,
+    /// An attempt to record it failed for good.
+    unrecordable: bool,
+}
+
+/// The pages of a write under way, with what stands in each.
+#[derive(Debug)]
+struct Writing(Vec<(PageId, BTreeSet<DutyKey>)>);
+
+/// The duties of one lease holder.
+#[derive(Debug)]
+pub struct DutyLog {
+    token: u64,
+    limits: Limits,
+    sequence: u64,
+    entries: BTreeMap<DutyKey, Entry>,
+    pages: BTreeMap<PageId, Page>,
+    writing: Option<Writing>,
+    over: BTreeMap<DutyKey, Digest>,
+    over_order: VecDeque<DutyKey>,
+    confirmed: u64,
+    abandoned: u64,
+}
+
+impl DutyLog {
+    pub fn new(token: u64, limits: Limits) -> Self {
+        Self {
+            token,
+            limits,
+            sequence: 0,
+            entries: BTreeMap::new(),
+            pages: BTreeMap::new(),
+            writing: None,
+            over: BTreeMap::new(),
+            over_order: VecDeque::new(),
+            confirmed: 0,
+            abandoned: 0,
+        }
+    }
+
+    /// A key that no other duty has: tokens are unique, and so is the number.
+    pub fn next_key(&mut self) -> DutyKey {
+        self.sequence += 1;
+        DutyKey::new(&format!("{}.{}", self.token, self.sequence))
+    }
+
+    /// The most of these machines whose return fits into one record.
+    pub fn returnable(&self, hosts: &[Arc<str>], cause: ReturnCause) -> Return {
+        let mut room = self.limits.value_bytes.saturating_sub(PAGE_OVERHEAD + RETURN_OVERHEAD);
+        let fits = |host: &&Arc<str>| {
+            let bytes = host.len() + HOST_OVERHEAD;
+            let fits = bytes <= room;
+            room = room.saturating_sub(bytes);
+            fits
+        };
+        let hosts = hosts.iter().take(MAX_RETURN_HOSTS).take_while(fits).cloned().collect();
+        Return { hosts, cause }
+    }
+
+    /// Takes in an intention. It may be issued once it is durable.
+    pub fn intend(&mut self, key: DutyKey, action: Action, now_ms: u64) -> Result<Intent, IntentError> {
+        let known = self.entries.get(&key).map(|entry| entry.duty.digest).or(self.over.get(&key).copied());
+        if let Some(known) = known {
+            let same = known == action.digest();
+            return if same { Ok(Intent::Repeat) } else { Err(IntentError::KeyReused { key }) };
+        }
+        if self.entries.len() >= MAX_OPEN_DUTIES {
+            return Err(IntentError::TooMany);
+        }
+        let duty = Duty::intended(key.clone(), self.token, action, now_ms);
+        let bytes = record::stored_bytes(&duty);
+        if bytes.saturating_add(PAGE_OVERHEAD) > self.limits.value_bytes {
+            return Err(IntentError::TooLarge { key, bytes });
+        }
+        let id = self.page_with_room(bytes);
+        let page = self.pages.entry(id).or_default();
+        page.bytes += bytes;
+        page.open.insert(key.clone());
+        self.entries.insert(key, Entry { duty, page: id, basis: None, unrecordable: false });
+        Ok(Intent::New)
+    }
+
+    fn page_with_room(&self, bytes: usize) -> PageId {
+        let own = |(id, page): &(&PageId, &Page)| id.holder == self.token && !page.inherited;
+        let room = |page: &Page| PAGE_OVERHEAD + page.bytes + bytes <= self.limits.value_bytes;
+        let found = self.pages.iter().filter(own).find(|(_, page)| room(page)).map(|(id, _)| *id);
+        let last = self.pages.iter().filter(own).map(|(id, _)| id.number + 1).max();
+        found.unwrap_or(PageId { holder: self.token, number: last.unwrap_or(0) })
+    }
+
+    /// Forgets what was inherited, since it is read again.
+    pub fn begin_reading(&mut self) {
+        self.pages.retain(|_, page| !page.inherited);
+        let (token, pages) = (self.token, &self.pages);
+        self.entries.retain(|_, entry| entry.duty.holder == token && pages.contains_key(&entry.page));
+    }
+
+    /// Takes in a stored page of a former holder; returns what can't be read of it.
+    pub fn inherit(&mut self, key: &str, value: &str, revision: u64) -> Vec<RecordFault> {
+        let Some(id) = PageId::parse(key) else {
+            return vec![RecordFault::Key { key: key.into() }];
+        };
+        if id.holder == self.token {
+            // Written by this holder before it had read everything.
+            return Vec::new();
+        }
+        if id.holder > self.token {
+            return vec![RecordFault::LaterHolder { key: key.into() }];
+        }
+        let (duties, mut faults) = record::decode(key, value);
+        let mut page = Page { revision, inherited: true, ..Page::default() };
+        for duty in duties {
+            let known = self.entries.get(&duty.key).map(|entry| entry.duty.digest);
+            if known.is_some() {
+                faults.push(RecordFault::Reused { key: key.into(), duty: duty.key });
+                continue;
+            }
+            page.open.insert(duty.key.clone());
+            page.stored.insert(duty.key.clone());
+            let basis = Some(Basis::Recorded { revision });
+            self.entries.insert(duty.key.clone(), Entry { duty, page: id, basis, unrecordable: false });
+        }
+        page.unreadable = !faults.is_empty();
+        self.pages.insert(id, page);
+        faults
+    }
+
+    /// The duties that a former holder left open.
+    pub fn adopted(&self) -> impl Iterator<Item = &Duty> {
+        self.entries.values().map(|entry| &entry.duty).filter(|duty| duty.holder != self.token)
+    }
+
+    pub fn open_duties(&self) -> impl Iterator<Item = &Duty> {
+        self.entries.values().map(|entry| &entry.duty)
+    }
+
+    pub fn duty(&self, key: &DutyKey) -> Option<&Duty> {
+        self.entries.get(key).map(|entry| &entry.duty)
+    }
+
+    /// Whether a duty waits for its record.
+    pub fn lacks_records(&self) -> bool {
+        self.pages.values().any(Page::lacks_duties)
+    }
+
+    /// Whether records of duties that are over could go.
+    pub fn is_untidy(&self) -> bool {
+        self.pages.values().any(Page::is_untidy)
+    }
+
+    pub fn is_writing(&self) -> bool {
+        self.writing.is_some()
+    }
+
+    /// The changes that make the log durable, as many as fit into `most` changes of one
+    /// transaction; `tidy`: also those that only remove what is over. None while a write
+    /// is under way.
+    pub fn begin_write(&mut self, most: usize, tidy: bool) -> Option<Vec<PageChange>> {
+        if self.writing.is_some() {
+            return None;
+        }
+        let most = most.min(self.limits.changes);
+        let mut room = self.limits.transaction_bytes;
+        let (mut changes, mut writing) = (Vec::new(), Vec::new());
+        let due = |page: &&Page| !page.in_doubt && (page.lacks_duties() || tidy && page.is_untidy());
+        // What lacks a record comes before what is only to be tidied up.
+        let mut pages: Vec<(&PageId, &Page)> = self.pages.iter().filter(|(_, page)| due(page)).collect();
+        pages.sort_by_key(|(id, page)| (!page.lacks_duties(), **id));
+        for (id, page) in pages.into_iter().take(most) {
+            if page.bytes + PAGE_OVERHEAD > room {
+                break;
+            }
+            room -= page.bytes + PAGE_OVERHEAD;
+            let duties = page.open.iter().filter_map(|key| self.entries.get(key)).map(|entry| &entry.duty);
+            let value = (!page.open.is_empty()).then(|| record::encode(duties));
+            changes.push(PageChange { page: *id, expected: page.revision, value });
+            writing.push((*id, page.open.clone()));
+        }
+        if changes.is_empty() {
+            return None;
+        }
+        self.writing = Some(Writing(writing));
+        Some(changes)
+    }
+
+    /// Takes in what came of the write; returns the duties that may be issued now.
+    pub fn end_write(&mut self, outcome: WriteOutcome) -> Vec<DutyKey> {
+        let Some(Writing(pages)) = self.writing.take() else { return Vec::new() };
+        match outcome {
+            WriteOutcome::Committed { revision } => return self.committed(pages, revision),
+            WriteOutcome::Busy => {}
+            WriteOutcome::Conflict => self.doubt(&pages),
+            WriteOutcome::Refused => self.unrecordable(),
+            WriteOutcome::Lost => {
+                self.doubt(&pages);
+                self.unrecordable();
+            }
+        }
+        Vec::new()
+    }
+
+    fn committed(&mut self, pages: Vec<(PageId, BTreeSet<DutyKey>)>, revision: u64) -> Vec<DutyKey> {
+        let mut durable = Vec::new();
+        for (id, stored) in pages {
+            let Some(page) = self.pages.get_mut(&id) else { continue };
+            if stored.is_empty() && page.open.is_empty() {
+                self.pages.remove(&id);
+                continue;
+            }
+            page.revision = if stored.is_empty() { 0 } else { revision };
+            page.stored = stored;
+            for key in &page.stored {
+                let Some(entry) = self.entries.get_mut(key) else { continue };
+                entry.basis = Some(Basis::Recorded { revision });
+                if entry.duty.become_state(State::Recorded).is_ok() {
+                    durable.push(key.clone());
+                }
+            }
+        }
+        durable
+    }
+
+    /// The transaction may be carried out later, or was by another way: what stands there
+    /// is read before the next write.
+    fn doubt(&mut self, pages: &[(PageId, BTreeSet<DutyKey>)]) {
+        for (id, _) in pages {
+            if let Some(page) = self.pages.get_mut(id) {
+                page.in_doubt = true;
+                page.stored.clear();
+            }
+        }
+    }
+
+    fn unrecordable(&mut self) {
+        for entry in self.entries.values_mut().filter(|entry| entry.duty.state() == State::Intended) {
+            entry.unrecordable = true;
+        }
+    }
+
+    /// The pages whose revisions are to be read before they are written again.
+    pub fn doubtful(&self) -> Vec<PageId> {
+        self.pages.iter().filter(|(_, page)| page.in_doubt).map(|(id, _)| *id).collect()
+    }
+
+    /// A page's key has this revision; 0: it is not there.
+    pub fn reread(&mut self, id: PageId, revision: u64) {
+        let Some(page) = self.pages.get_mut(&id) else { return };
+        page.in_doubt = false;
+        page.revision = revision;
+        if revision == 0 && page.open.is_empty() {
+            self.pages.remove(&id);
+        }
+    }
+
+    /// A page's revision could not be read: the state service fails this holder.
+    pub fn reread_failed(&mut self) {
+        self.unrecordable();
+    }
+
+    /// Failures to record compel nobody any more: each counts at once or not at all, so
+    /// that a holder which was paused after one starts over with a new attempt.
+    pub fn forget_failures(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.unrecordable = false;
+        }
+    }
+
+    /// Takes up a duty that is durable, to be sent now.
+    pub fn issue(&mut self, key: &DutyKey) -> Result<(Action, Proof), NotIssued> {
+        let token = self.token;
+        let entry = self.entries.get_mut(key).ok_or_else(|| NotIssued::Unknown(key.clone()))?;
+        let basis = entry.basis.ok_or_else(|| NotIssued::NotDurable(key.clone()))?;
+        entry.duty.become_state(State::Issued)?;
+        let proof = Proof { token, key: key.clone(), digest: entry.duty.digest, basis };
+        Ok((entry.duty.action.clone(), proof))
+    }
+
+    /// Lets a duty be issued without its record: a rule forces the return of machines,
+    /// and the state service has failed the attempt to record it. Time alone, or a lease
+    /// that has run out by the own clock, is no ground.
+    pub fn compel(&mut self, key: &DutyKey) -> bool {
+        let Some(entry) = self.entries.get_mut(key) else { return false };
+        let reclaim = matches!(entry.duty.action, Action::Return(Return { cause: ReturnCause::Reclaim, .. }));
+        if entry.basis.is_none() && entry.unrecordable && reclaim {
+            entry.basis = Some(Basis::Compelled);
+        }
+        entry.basis == Some(Basis::Compelled)
+    }
+
+    /// The effect of a duty is certain.
+    pub fn confirm(&mut self, key: &DutyKey) -> Result<(), BadTransition> {
+        self.end(key, State::Confirmed)
+    }
+
+    /// Gives a duty up.
+    pub fn abandon(&mut self, key: &DutyKey) -> Result<(), BadTransition> {
+        self.end(key, State::Abandoned)
+    }
+
+    fn end(&mut self, key: &DutyKey, last: State) -> Result<(), BadTransition> {
+        let Some(entry) = self.entries.get_mut(key) else { return Ok(()) };
+        entry.duty.become_state(last)?;
+        match last {
+            State::Confirmed => self.confirmed += 1,
+            _ => self.abandoned += 1,
+        }
+        let bytes = record::stored_bytes(&entry.duty);
+        if let Some(page) = self.pages.get_mut(&entry.page) {
+            page.open.remove(key);
+            page.bytes = page.bytes.saturating_sub(bytes);
+        }
+        if let Some(entry) = self.entries.remove(key) {
+            self.over.insert(key.clone(), entry.duty.digest);
+            self.over_order.push_back(key.clone());
+        }
+        if self.over_order.len() > MAX_REMEMBERED {
+            if let Some(oldest) = self.over_order.pop_front() {
+                self.over.remove(&oldest);
+            }
+        }
+        Ok(())
+    }
+
+    pub fn summary(&self) -> Summary {
+        let count = |state| self.entries.values().filter(|entry| entry.duty.state() == state).count();
+        Summary {
+            intended: count(State::Intended),
+            recorded: count(State::Recorded),
+            adopted: count(State::Adopted),
+            issued: count(State::Issued),
+            confirmed: self.confirmed,
+            abandoned: self.abandoned,
+            pages: self.pages.len(),
+            unreadable_pages: self.pages.values().filter(|page| page.unreadable).count(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/plankhead-fencing/src/page.rs
@@ -0,0 +1,35 @@
+//! One stored page of duties, as the log knows it.
+
+use crate::duty::DutyKey;
+use std::collections::BTreeSet;
+
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Page {
+    /// The revision of its key; 0: not stored.
+    pub revision: u64,
+    /// The duties that should stand in it.
+    pub open: BTreeSet<DutyKey>,
+    /// The duties that may stand in it.
+    pub stored: BTreeSet<DutyKey>,
+    /// What [`open`](Self::open) takes as a record.
+    pub bytes: usize,
+    /// A write of it got no answer: its revision is to be read.
+    pub in_doubt: bool,
+    /// A former holder wrote it: it is never written again, only dropped.
+    pub inherited: bool,
+    /// Some of it can't be read and may be of a later version: it is never dropped.
+    pub unreadable: bool,
+}
+
+impl Page {
+    /// Whether it holds records of duties that are over.
+    pub fn is_untidy(&self) -> bool {
+        let over = if self.open.is_empty() { self.revision > 0 } else { !self.stored.is_subset(&self.open) };
+        over && !self.unreadable && (!self.inherited || self.open.is_empty())
+    }
+
+    /// Whether it lacks a duty.
+    pub fn lacks_duties(&self) -> bool {
+        !self.inherited && !self.open.is_subset(&self.stored)
+    }
+}
--- a/crates/plankhead/src/cli.rs
+++ b/crates/plankhead/src/cli.rs
@@ -1,53 +1,84 @@
 //! The command line.
 
-use crate::{config, driver, log};
-use clap::Parser;
+use crate::{config, driver, duties, log};
+use clap::{Parser, Subcommand};
+use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// A controller node of the plankhead cluster scheduler.
 #[derive(Debug, Parser)]
 #[command(version, about)]
+#[command(args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
 struct Args {
+    #[command(subcommand)]
+    command: Option<Command>,
     /// The platform's settings file (JSON).
-    #[arg(long, value_name = "FILE")]
-    config: PathBuf,
+    #[arg(long, value_name = "FILE", required = true)]
+    config: Option<PathBuf>,
     /// The operators' own settings (JSON, see operator.schema.json).
     #[arg(long, value_name = "FILE")]
     operator: Option<PathBuf>,
+    /// Whether duties are fenced, and how (JSON, see fencing.schema.json). Without it they
+    /// are not.
+    #[arg(long, value_name = "FILE")]
+    fencing: Option<PathBuf>,
     /// Check the settings, print every fault found, and end.
     #[arg(long)]
     check: bool,
 }
 
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// List the open duties, as the state service has them.
+    Duties(DutiesArgs),
+}
+
+#[derive(Debug, clap::Args)]
+struct DutiesArgs {
+    /// The settings file of any controller node (JSON).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The time zone to show times in, such as Europe/Tallinn.
+    #[arg(long, value_name = "NAME", default_value = "UTC")]
+    time_zone: String,
+}
+
 pub fn main() -> ExitCode {
     let args = Args::parse();
-    let config = match config::read(&args.config, args.operator.as_deref()) {
-        Ok(config) => config,
+    match run(args) {
+        Ok(()) => ExitCode::SUCCESS,
         Err(faults) => {
             for fault in faults {
                 eprintln!("plankhead: {fault}");
             }
-            return ExitCode::FAILURE;
+            ExitCode::FAILURE
         }
-    };
+    }
+}
+
+/// Does what the command line asks for; on failure, every fault found.
+fn run(args: Args) -> Result<(), Vec<String>> {
+    if let Some(Command::Duties(asked)) = args.command {
+        let config = config::read(&asked.config, None, None)?;
+        let table = block_on(duties::list(config.state, &asked.time_zone))?;
+        let table = table.map_err(|error| vec![error.to_string()])?;
+        print!("{table}");
+        return Ok(());
+    }
+    let platform = args.config.unwrap_or_default();
+    let config = config::read(&platform, args.operator.as_deref(), args.fencing.as_deref())?;
     if args.check {
         println!("the settings are good");
-        return ExitCode::SUCCESS;
+        return Ok(());
     }
     log::start();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("plankhead: the runtime can't start: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    match runtime.block_on(driver::run(config)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("plankhead: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    block_on(driver::run(config))?.map_err(|error| vec![error.to_string()])
+}
+
+/// Runs a future on this thread.
+fn block_on<T>(future: impl Future<Output = T>) -> Result<T, Vec<String>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| vec![format!("the runtime can't start: {error}")])?;
+    Ok(runtime.block_on(future))
 }
--- a/crates/plankhead/src/cloud.rs
+++ b/crates/plankhead/src/cloud.rs
@@ -4,6 +4,7 @@
 use crate::wire;
 use hyper::{Method, StatusCode};
 use plankhead_core::protocol::{CallError, CloudOp, CloudReply};
+use plankhead_fencing::action::Action;
 use std::time::Duration;
 
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -17,15 +18,17 @@
             let after = after.as_ref().map(|a| format!("after={a}&")).unwrap_or_default();
             (Method::GET, format!("/hosts?{after}most={PAGE}"), Vec::new())
         }
-        CloudOp::Hire { name, rig, zone, spot, count } => {
-            let body = wire::hire(name, rig, zone, *spot, *count).to_string().into_bytes();
-            (Method::POST, "/hosts".into(), body)
-        }
-        CloudOp::Release { hosts } => {
-            let hosts: Vec<&str> = hosts.iter().map(|h| h.as_ref()).collect();
-            let body = serde_json::json!({ "hosts": hosts }).to_string().into_bytes();
-            (Method::POST, "/hosts/release".into(), body)
-        }
+        CloudOp::Act(permitted) => match permitted.action() {
+            Action::Rent(rental) => {
+                let body = wire::rental(rental).to_string().into_bytes();
+                (Method::POST, "/hosts".into(), body)
+            }
+            Action::Return(back) => {
+                let hosts: Vec<&str> = back.hosts.iter().map(|h| h.as_ref()).collect();
+                let body = serde_json::json!({ "hosts": hosts }).to_string().into_bytes();
+                (Method::POST, "/hosts/release".into(), body)
+            }
+        },
     };
     let (status, body) = client.call(method, &path, body, PATIENCE).await?;
     match (&op, status) {
@@ -36,14 +39,21 @@
             let (hosts, truncated) = wire::hosts(&body).ok_or(CallError::Lost)?;
             Ok(CloudReply::Page { hosts, truncated })
         }
-        (CloudOp::Hire { .. }, StatusCode::OK) => {
-            let names = wire::hired(&body).ok_or(CallError::Lost)?;
+        (CloudOp::Act(permitted), status) => acted(permitted.action(), status, &body),
+        (_, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => Err(CallError::Refused),
+        _ => Err(CallError::Lost),
+    }
+}
+
+/// What came of an action.
+fn acted(action: &Action, status: StatusCode, body: &[u8]) -> Result<CloudReply, CallError> {
+    match (action, status) {
+        (Action::Rent(_), StatusCode::OK) => {
+            let names = wire::hired(body).ok_or(CallError::Lost)?;
             Ok(CloudReply::Hired(names.into_iter().map(Into::into).collect()))
         }
-        (CloudOp::Hire { .. }, StatusCode::SERVICE_UNAVAILABLE) if refused(&body) => {
-            Ok(CloudReply::NoCapacity)
-        }
-        (CloudOp::Release { .. }, StatusCode::OK) => Ok(CloudReply::Released),
+        (Action::Rent(_), StatusCode::SERVICE_UNAVAILABLE) if refused(body) => Ok(CloudReply::NoCapacity),
+        (Action::Return(_), StatusCode::OK) => Ok(CloudReply::Released),
         (_, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => Err(CallError::Refused),
         _ => Err(CallError::Lost),
     }
--- a/crates/plankhead/src/config.rs
+++ b/crates/plankhead/src/config.rs
@@ -1,7 +1,9 @@
 //! The two settings files: the platform's, of which unknown fields are
 //! ignored, and the operators', which must match its schema.
 
-use plankhead_core::settings::{Expectation, Settings, Sizing, Team};
+use crate::fencing;
+use plankhead_core::settings::{Expectation, Fencing, Settings, Sizing, Team};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -136,10 +138,11 @@
 }
 
 /// Reads both files; on failure, every fault found.
-pub fn read(platform: &Path, operator: Option<&Path>) -> Result<Config, Vec<String>> {
+pub fn read(platform: &Path, operator: Option<&Path>, fencing: Option<&Path>) -> Result<Config, Vec<String>> {
     let mut faults = Vec::new();
     let root = load(platform, &mut faults);
     let own = operator.map(|path| load(path, &mut faults));
+    let fencing = fencing.map(|path| load(path, &mut faults));
     if !faults.is_empty() {
         return Err(faults);
     }
@@ -147,7 +150,10 @@
         Some(value) => parse_operator(value, &mut faults),
         None => Operator::default(),
     };
-    let config = parse(&root, sizing, &mut faults);
+    let mut config = parse(&root, sizing, &mut faults);
+    if let Some(value) = fencing {
+        config.core.fencing = fencing::parse(&value, &mut faults);
+    }
     if faults.is_empty() {
         Ok(config)
     } else {
@@ -178,22 +184,33 @@
 
 /// Checks the operators' settings against the schema, then reads them.
 pub fn parse_operator(value: &Value, faults: &mut Vec<String>) -> Operator {
+    parse_checked("operator settings", SCHEMA, value, faults)
+}
+
+/// Checks a file of the operators' against its schema, then reads it. On failure every
+/// fault is added, and the defaults are returned.
+pub fn parse_checked<T: Default + DeserializeOwned>(
+    name: &str,
+    schema: &str,
+    value: &Value,
+    faults: &mut Vec<String>,
+) -> T {
     let before = faults.len();
-    let schema: Value = serde_json::from_str(SCHEMA).unwrap_or_default();
+    let schema: Value = serde_json::from_str(schema).unwrap_or_default();
     match jsonschema::validator_for(&schema) {
         Ok(validator) => {
             for error in validator.iter_errors(value) {
-                faults.push(format!("operator settings: {}: {error}", error.instance_path()));
+                faults.push(format!("{name}: {}: {error}", error.instance_path()));
             }
         }
         Err(error) => faults.push(format!("the schema itself is bad: {error}")),
     }
     if faults.len() > before {
-        return Operator::default();
+        return T::default();
     }
     serde_json::from_value(value.clone()).unwrap_or_else(|error| {
-        faults.push(format!("operator settings: {error}"));
-        Operator::default()
+        faults.push(format!("{name}: {error}"));
+        T::default()
     })
 }
 
@@ -287,6 +304,7 @@
             interval: operator.sizing.interval_s.map(Duration::from_secs_f64),
             capacity: operator.sizing.capacity,
         },
+        fencing: Fencing::default(),
     };
     Config {
         api: r.address(root, "api_addr"),
--- /dev/null
+++ b/crates/plankhead/src/fencing.rs
@@ -0,0 +1,56 @@
+//! The operators' file that switches fencing on.
+
+use crate::config;
+use plankhead_core::settings::Fencing;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::time::Duration;
+
+/// The file as a schema, also for editors.
+pub const SCHEMA: &str = include_str!("../fencing.schema.json");
+
+/// Whether and how the leader's duties are fenced.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(test, derive(schemars::JsonSchema))]
+#[serde(deny_unknown_fields, default)]
+pub struct FencingFile {
+    /// Whether rentals and returns are recorded before they are asked for.
+    pub enabled: bool,
+    /// Milliseconds between two writes of intentions, unless a cancellation presses.
+    #[cfg_attr(test, schemars(range(min = 0, max = 10_000)))]
+    pub write_pause_ms: u64,
+    /// Seconds between two writes that only remove records of what is over.
+    #[cfg_attr(test, schemars(range(min = 1, max = 3600)))]
+    pub tidy_pause_s: u64,
+    /// Seconds until a refused rental that may still be carried out is asked for again.
+    #[cfg_attr(test, schemars(range(min = 1, max = 3600)))]
+    pub refused_rental_retry_s: u64,
+    /// Seconds after a takeover until such a rental is given up.
+    #[cfg_attr(test, schemars(range(min = 60, max = 86_400)))]
+    pub abandon_rental_s: u64,
+}
+
+impl Default for FencingFile {
+    fn default() -> Self {
+        let core = Fencing::default();
+        Self {
+            enabled: core.enabled,
+            write_pause_ms: core.write_pause.as_millis() as u64,
+            tidy_pause_s: core.tidy_pause.as_secs(),
+            refused_rental_retry_s: core.refused_rental_retry.as_secs(),
+            abandon_rental_s: core.abandon_rental.as_secs(),
+        }
+    }
+}
+
+/// Checks the file against its schema, then reads it.
+pub fn parse(value: &Value, faults: &mut Vec<String>) -> Fencing {
+    let file: FencingFile = config::parse_checked("fencing settings", SCHEMA, value, faults);
+    Fencing {
+        enabled: file.enabled,
+        write_pause: Duration::from_millis(file.write_pause_ms),
+        tidy_pause: Duration::from_secs(file.tidy_pause_s),
+        refused_rental_retry: Duration::from_secs(file.refused_rental_retry_s),
+        abandon_rental: Duration::from_secs(file.abandon_rental_s),
+    }
+}
--- a/crates/plankhead/src/lib.rs
+++ b/crates/plankhead/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod cloud;
 pub mod config;
 pub mod driver;
+pub mod duties;
+pub mod fencing;
 pub mod http;
 pub mod log;
 pub mod peer;
--- a/crates/plankhead/src/tests/settings.rs
+++ b/crates/plankhead/src/tests/settings.rs
@@ -1,4 +1,5 @@
 use crate::config::{parse, parse_operator, Operator, SCHEMA};
+use crate::fencing::{self, FencingFile};
 use serde_json::{json, Value};
 
 /// The committed schema is the one that the types describe.
@@ -65,3 +66,31 @@
         assert!(faults.iter().any(|f| f.contains(part)), "{part} in {faults:?}");
     }
 }
+
+/// The committed schema is the one that the types describe.
+#[test]
+fn fencing_schema_is_current() {
+    let made = serde_json::to_string_pretty(&schemars::schema_for!(FencingFile)).unwrap() + "\n";
+    if std::env::var_os("PLANKHEAD_WRITE_SCHEMA").is_some() {
+        std::fs::write(concat!(env!("CARGO_MANIFEST_DIR"), "/fencing.schema.json"), &made).unwrap();
+        return;
+    }
+    assert_eq!(fencing::SCHEMA, made, "run the tests once with PLANKHEAD_WRITE_SCHEMA=1");
+}
+
+#[test]
+fn every_fault_of_the_fencing_file_is_named() {
+    let faults = |value: Value| {
+        let mut faults = Vec::new();
+        fencing::parse(&value, &mut faults);
+        faults
+    };
+    assert_eq!(faults(json!({})), Vec::<String>::new());
+    let deployed = include_str!("../../../../deploy/fencing.json");
+    assert_eq!(faults(serde_json::from_str(deployed).unwrap()), Vec::<String>::new());
+    let bad = faults(json!({"enabled": "yes", "write_pause_ms": -1, "tidy_pause_s": 0, "fence": 1}));
+    assert_eq!(bad.len(), 4, "{bad:?}");
+    for part in ["/enabled", "/write_pause_ms", "/tidy_pause_s", "fence"] {
+        assert!(bad.iter().any(|fault| fault.contains(part)), "{part} in {bad:?}");
+    }
+}
--- a/crates/plankhead/src/wire.rs
+++ b/crates/plankhead/src/wire.rs
@@ -6,6 +6,7 @@
     Answer, Cause, Change, Condition, HostStatus, KeyEvent, Listed, ListedHost, Order, Report, Rig, Row,
     Seen, Status, TaskId,
 };
+use plankhead_fencing::action::Rental;
 use serde::{Deserialize, Serialize, Serializer};
 use serde_json::value::RawValue;
 use serde_json::{json, Value};
@@ -473,8 +474,9 @@
     Some((hosts, page.truncated))
 }
 
-pub fn hire(name: &str, rig: &str, zone: &str, spot: bool, count: u32) -> Value {
-    json!({"hire": name, "rig": rig, "yard": zone, "loaners": spot, "number": count})
+pub fn rental(rental: &Rental) -> Value {
+    let Rental { name, machine_type, zone, spot, count } = rental;
+    json!({"hire": name, "rig": machine_type, "yard": zone, "loaners": spot, "number": count})
 }
 
 pub fn hired(body: &[u8]) -> Option<Vec<String>> {
