--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -75,6 +75,10 @@
         }
         self.minded = now + MIND;
         self.mind_machines(now, sight, out);
+        // A new leader's rentals took the cloud's rate while a cancellation was due.
+        if self.fleet.machines.values().any(|m| m.leaving == Some(Leaving::CancelDue)) {
+            self.release(now, sight, out);
+        }
         if sighted && self.surveyed {
             self.hire(now, out);
         }
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -16,7 +16,7 @@
 use crate::election;
 use crate::fleet::{Fleet, Heard, Leaving, Machine, Pool};
 use crate::job::{JobId, JobRecord, JobSpec, Phase, Resources, Urgency};
-use crate::ledger::{tasks_per_chunk, Ended, Entry, Ledger};
+use crate::ledger::{tasks_per_chunk, Ended, Entry, Ledger, StoredKey};
 use crate::node::{Out, Purpose, Times};
 use crate::places::Places;
 use crate::portions::Portions;
@@ -96,7 +96,9 @@
     Write(Batch),
     ReadChunk(JobId, u32),
     ReadJob(JobId),
-    Sweep(Vec<String>),
+    Sweep(Vec<StoredKey>),
+    /// The revision of a key that is to go.
+    ReadGarbage(String),
     Archive(Vec<Final>),
     Target,
     Hosts,
@@ -201,7 +203,7 @@
     writes: Bucket,
     cloud: Bucket,
     reading: HashSet<String>,
-    garbage: Vec<String>,
+    garbage: Vec<StoredKey>,
     /// How many of these, at the front, should go soon.
     pressing: usize,
     /// Records of jobs that are over, to be moved out of the next leader's way.
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -61,10 +61,14 @@
                 self.sweeping = false;
                 match reply {
                     Ok(StateReply::Committed { .. }) => {}
-                    Ok(StateReply::Conflict { .. }) => return false,
+                    Ok(StateReply::Conflict { failed }) if failed.iter().any(|k| k == election::KEY) => {
+                        return false;
+                    }
+                    Ok(StateReply::Conflict { failed }) => self.doubt_garbage(keys, &failed),
                     _ => self.garbage.extend(keys),
                 }
             }
+            LeaderCall::ReadGarbage(key) => self.garbage_read(key, reply),
             LeaderCall::Archive(finals) => {
                 self.sweeping = false;
                 match reply {
--- a/crates/plankhead-core/src/leader/takeover.rs
+++ b/crates/plankhead-core/src/leader/takeover.rs
@@ -67,7 +67,7 @@
             });
             match (id, number) {
                 (Some(id), Some(_)) if !self.ledger.jobs.contains_key(&id) => {
-                    self.garbage.push(row.key);
+                    self.garbage.push(StoredKey { key: row.key, revision: Some(row.stamp) });
                 }
                 (Some(id), Some(number)) => self.rows.push((id, number, row.value, row.stamp)),
                 _ => out.log(Level::Error, format!("strange key {}", row.key)),
--- a/crates/plankhead-core/src/leader/writing.rs
+++ b/crates/plankhead-core/src/leader/writing.rs
@@ -200,14 +200,60 @@
         }
         let most = if spare { self.garbage.len() } else { self.pressing.min(self.garbage.len()) };
         let most = self.settings.txn_ops.min(most).min(self.writes.available(now));
-        let keys: Vec<String> = self.garbage.drain(..most).collect::<BTreeSet<_>>().into_iter().collect();
+        let mut keys: Vec<StoredKey> = self.garbage.drain(..most).collect();
+        keys.sort_by(|a, b| a.key.cmp(&b.key));
+        keys.dedup_by(|a, b| a.key == b.key);
+        self.pressing = self.pressing.saturating_sub(keys.len());
+        if self.duties.fenced() {
+            keys = self.of_known_revision(keys, out);
+        }
         if keys.is_empty() || !self.writes.take(now, keys.len()) {
-            return;
+            return self.garbage.extend(keys);
         }
-        self.pressing = self.pressing.saturating_sub(keys.len());
         self.sweeping = true;
-        let changes = keys.iter().map(|k| Change::Drop { key: k.clone() }).collect();
-        self.state(LeaderCall::Sweep(keys), StateOp::Txn { conditions: vec![self.lead()], changes }, out);
+        let mut conditions = vec![self.lead()];
+        if self.duties.fenced() {
+            let revision = |k: &StoredKey| Some(Condition { key: k.key.clone(), stamp: k.revision? });
+            conditions.extend(keys.iter().filter_map(revision));
+        }
+        let changes = keys.iter().map(|k| Change::Drop { key: k.key.clone() }).collect();
+        self.state(LeaderCall::Sweep(keys), StateOp::Txn { conditions, changes }, out);
+    }
+
+    /// Where duties are fenced, a key goes only at the revision that is known to be over:
+    /// where that is in doubt it is read first.
+    fn of_known_revision(&self, keys: Vec<StoredKey>, out: &mut Out) -> Vec<StoredKey> {
+        let (known, unknown): (Vec<_>, Vec<_>) = keys.into_iter().partition(|k| k.revision.is_some());
+        for StoredKey { key, .. } in unknown {
+            self.state(LeaderCall::ReadGarbage(key.clone()), StateOp::Get { key }, out);
+        }
+        known
+    }
+
+    /// Some keys had other revisions than were known: nothing went.
+    pub(super) fn doubt_garbage(&mut self, keys: Vec<StoredKey>, failed: &[String]) {
+        let revised = |mut stored: StoredKey| {
+            if failed.contains(&stored.key) {
+                stored.revision = None;
+            }
+            stored
+        };
+        self.garbage.extend(keys.into_iter().map(revised));
+    }
+
+    /// The reply to a question after a key that is to go. A job of that name may be there
+    /// again: then its records are its own.
+    pub(super) fn garbage_read(&mut self, key: String, reply: Result<StateReply, CallError>) {
+        let job = key.split('/').nth(1).and_then(|id| JobId::parse(id).ok());
+        let needed = job.is_some_and(|id| self.ledger.jobs.get(&id).is_some_and(|e| e.phase == Phase::Live));
+        match reply {
+            _ if needed => {}
+            Ok(StateReply::Got(None)) => {}
+            Ok(StateReply::Got(Some(row))) => {
+                self.garbage.push(StoredKey { key, revision: Some(row.stamp) });
+            }
+            _ => self.garbage.push(StoredKey { key, revision: None }),
+        }
     }
 
     /// Moves records of jobs that are over to where no new leader reads them.
--- a/crates/plankhead-core/src/ledger.rs
+++ b/crates/plankhead-core/src/ledger.rs
@@ -106,7 +106,7 @@
     /// The chunks were laid anew.
     pub laid_anew: bool,
     /// Keys that hold chunks of the layout before, dropped with the job.
-    pub old_keys: Vec<String>,
+    pub old_keys: Vec<StoredKey>,
     /// Tasks from here on were never placed.
     pub fresh: u32,
     /// Tasks whose last attempt is proven gone.
@@ -159,11 +159,14 @@
     }
 
     /// Every key that holds placements of the job.
-    pub fn stored(&self, id: &JobId) -> Vec<String> {
+    pub fn stored(&self, id: &JobId) -> Vec<StoredKey> {
         let written = self.chunks.iter().filter(|(_, c)| c.stamp > 0 || c.stale);
-        let mut keys = self.old_keys.clone();
-        keys.extend(written.map(|(n, _)| id.chunk_key(*n, self.laid_anew)));
-        keys
+        let old = self.old_keys.iter().cloned();
+        let chunk = |(number, chunk): (&u32, &Chunk)| StoredKey {
+            key: id.chunk_key(*number, self.laid_anew),
+            revision: (!chunk.stale).then_some(chunk.stamp),
+        };
+        old.chain(written.map(chunk)).collect()
     }
 
     fn attempts(&self) -> impl Iterator<Item = (u32, &Attempt)> {
@@ -174,6 +177,14 @@
     }
 }
 
+/// A key in the state service that nobody needs any more.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredKey {
+    pub key: String,
+    /// Its revision, where that is known.
+    pub revision: Option<u64>,
+}
+
 /// What became of an attempt in a report.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ended {
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -12,6 +12,7 @@
 use crate::requests::{PendingRequest, RequestHandler};
 use crate::settings::Settings;
 use crate::version_barrier::{self, VersionBarrier};
+use plankhead_fencing::token::TokenGuard;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -161,6 +162,8 @@
     /// Workers sent to a leader: under which token, and when.
     sent: HashMap<HostName, (u64, Duration)>,
     held: Vec<Held>,
+    /// The highest fencing token that anything showed.
+    tokens: TokenGuard,
     /// How far the process is behind.
     lag: Duration,
 }
@@ -187,6 +190,7 @@
             state_bad: None,
             sent: HashMap::new(),
             held: Vec::new(),
+            tokens: TokenGuard::default(),
             lag: Duration::ZERO,
         }
     }
@@ -341,6 +345,7 @@
         match verdict {
             Verdict::None => {}
             Verdict::Won { token } => {
+                self.tokens.learn(token);
                 self.out.log(Level::Info, format!("leads under token {token}"));
                 let mut leader = Leader::new(self.settings.clone(), token, times.now);
                 leader.catalog(self.rigs.clone());
@@ -359,6 +364,7 @@
 
     fn beat(&mut self, times: Times, report: Report, relayed: bool) -> Answer {
         let now = times.now;
+        self.tokens.learn(report.token);
         let adrift = !self.election.firm(now) && !self.company(now);
         if let Some(leader) = &mut self.leader {
             if report.token <= leader.token {
@@ -368,7 +374,8 @@
             let verdict = self.election.lost();
             self.verdict(times, verdict);
         }
-        let Some((token, foreman)) = self.foreman(now, report.token) else {
+        let least = report.token.max(self.highest_token());
+        let Some((token, foreman)) = self.foreman(now, least) else {
             return Answer::Elsewhere { foreman: None };
         };
         // Who knows the leader's token, or was sent there and is back, can't
@@ -441,10 +448,36 @@
         }
     }
 
-    fn pulse(&mut self, times: Times, pulse: Pulse) {
+    /// Where fencing is on, what a node that claims to lead under a token that is over tells
+    /// of jobs is passed over. It still counts as one that leads where this matters for
+    /// workers: it may renew leases of those that know no later token.
+    fn admit_claim(&mut self, pulse: &mut Pulse) {
+        if !self.settings.fencing.enabled || pulse.token == 0 {
+            return;
+        }
+        if let Err(stale) = self.tokens.admit(pulse.token) {
+            let known = self.siblings.get(&pulse.host).is_some_and(|(_, before)| before.token == pulse.token);
+            let level = if known { Level::Debug } else { Level::Info };
+            self.out.log(level, format!("{} claims to lead: {stale}", pulse.host));
+            pulse.progress.clear();
+        }
+    }
+
+    /// The highest fencing token seen, for adapters that pass answers on; 0 while fencing is
+    /// off.
+    pub fn highest_token(&self) -> u64 {
+        if self.settings.fencing.enabled {
+            self.tokens.highest()
+        } else {
+            0
+        }
+    }
+
+    fn pulse(&mut self, times: Times, mut pulse: Pulse) {
         if !self.settings.siblings.contains(&pulse.host) {
             return;
         }
+        self.admit_claim(&mut pulse);
         // The state service may not serve us, who then would not learn from it
         // that the key is somebody else's, and would hold the workers.
         if self.leader.as_ref().is_some_and(|l| l.token < pulse.token) {
@@ -517,6 +550,7 @@
             "allNew": self.version_barrier.open(),
             "leader": self.leader.as_ref().map(|l| l.view(times)),
             "foreman": self.foreman(times.now, 0).map(|(_, host)| host),
+            "tokens": {"highest": self.tokens.highest(), "refused": self.tokens.refused()},
             "siblings": siblings,
         })
     }
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -6,7 +6,8 @@
 use plankhead_core::node::{Node, Times};
 use plankhead_core::protocol::*;
 use plankhead_core::settings::{Fencing, Settings, Sizing, Team};
-use plankhead_fencing::action::Action;
+use plankhead_fencing::action::{Action, Return, ReturnCause};
+use plankhead_fencing::duty::{Duty, DutyKey};
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
@@ -119,7 +120,11 @@
 
 impl Bench {
     fn new() -> Self {
-        let node = Node::new(settings());
+        Self::of(settings())
+    }
+
+    fn of(settings: Settings) -> Self {
+        let node = Node::new(settings);
         let mut bench = Self { node, now: START, asks: 0, calls: Vec::new(), effects: Vec::new() };
         bench.step(Vec::new());
         bench
@@ -448,3 +453,75 @@
     };
     bench.effects.iter().find_map(asked).unwrap()
 }
+
+/// A node that was replaced goes on claiming to lead: where fencing is on, what it tells of
+/// jobs is passed over and counted, and nobody is sent to it.
+#[test]
+fn a_claim_under_a_token_that_is_over_is_refused() {
+    let progress = vec![Progress { id: id().to_string(), done: 0, running: 1 }];
+    let claim = |token| Pulse { host: "plank-1".into(), state_ok: true, token, progress: progress.clone() };
+    for (fenced, sent) in [(false, Some("plank-1")), (true, None)] {
+        let mut bench =
+            Bench::of(Settings { fencing: Fencing { enabled: fenced, ..Fencing::default() }, ..settings() });
+        bench.step(vec![Event::Pulse(claim(50))]);
+        let early = bench.beat(1, 7);
+        assert!(matches!(bench.answer(early), Some(Answer::Elsewhere { foreman: Some(_) })));
+        // Another leads meanwhile, as a worker shows; then the first is heard again.
+        let mut later = report(2, 60);
+        later.host = "i-2".into();
+        bench.ask(|ask| Event::Beat { ask, report: later, relayed: false });
+        bench.step(vec![Event::Pulse(claim(50))]);
+        let mut third = report(3, 7);
+        third.host = "i-3".into();
+        let asked = bench.ask(|ask| Event::Beat { ask, report: third, relayed: false });
+        let Some(Answer::Elsewhere { foreman }) = bench.answer(asked) else { panic!("no answer") };
+        assert_eq!(foreman.as_deref(), sent, "fenced: {fenced}");
+        let view = bench.ask(|ask| Event::View { ask });
+        let Some(Answer::View(view)) = bench.answer(view) else { panic!("no view") };
+        assert_eq!(view["tokens"]["refused"], u64::from(fenced));
+    }
+}
+
+/// A former leader had begun to give the machine back: the next one places nothing there,
+/// asks the cloud for the return again, and drops the record once that is answered.
+#[test]
+fn nothing_is_placed_on_a_machine_whose_return_is_open() {
+    let fencing = Fencing { enabled: true, ..Fencing::default() };
+    let mut bench = Bench::of(Settings { fencing, ..settings() });
+    bench.wins(41);
+    let rows = vec![row("job/job-000001", &record(Phase::Live, bench.now), 5)];
+    bench.reply(lists("job/"), Ok(StateReply::Page { rows, truncated: false, epoch: 9 }));
+    bench.reply(lists("run/"), Ok(StateReply::Page { rows: Vec::new(), truncated: false, epoch: 9 }));
+    let back = Return { hosts: vec!["i-1".into()], cause: ReturnCause::Surplus };
+    let duty = Duty::intended(DutyKey::new("30.1"), 30, Action::Return(back), 0);
+    let value = plankhead_fencing::record::encode([&duty].into_iter());
+    let rows = vec![row("duty/30/0", &value, 8)];
+    bench.reply(lists("duty/"), Ok(StateReply::Page { rows, truncated: false, epoch: 9 }));
+    bench.reply(gets("target"), Ok(StateReply::Got(None)));
+    // The machine is there, idle, with room for the waiting job.
+    for tick in 1..12 {
+        let mut idle = report(tick, 41);
+        idle.tasks = [].into();
+        let beat = bench.ask(|ask| Event::Beat { ask, report: idle, relayed: false });
+        let Some(Answer::Beat { orders, .. }) = bench.answer(beat) else { panic!("no answer") };
+        assert_eq!(*orders, Vec::new(), "something was placed there");
+        bench.lives(ms(300));
+    }
+    let released = |e: &Effect| released(e).is_some_and(|hosts| hosts.iter().all(|h| &**h == "i-1"));
+    let call = bench.effects.iter().find(|e| released(e)).map(|e| match e {
+        Effect::Cloud { call, .. } => *call,
+        _ => 0,
+    });
+    assert_eq!(bench.effects.iter().filter(|e| released(e)).count(), 1, "the return was not asked for once");
+    bench.step(vec![Event::Cloud { call: call.unwrap(), reply: Ok(CloudReply::Released) }]);
+    bench.lives(Duration::from_secs(6));
+    let drops = |op: &StateOp| {
+        let of = |c: &Change| matches!(c, Change::Drop { key } if key == "duty/30/0");
+        matches!(op, StateOp::Txn { conditions, changes } if changes.iter().any(of)
+            && conditions.contains(&Condition { key: "lead".into(), stamp: 41 })
+            && conditions.contains(&Condition { key: "duty/30/0".into(), stamp: 8 }))
+    };
+    assert!(bench.calls.iter().any(|(_, op)| drops(op)), "its record is kept: {:?}", bench.calls);
+    let answered = bench.beat(20, 41);
+    assert!(!matches!(bench.answer(answered), Some(Answer::Beat { .. })), "a machine that is gone is heard");
+}
--- a/crates/plankhead-core/tests/upgrade.rs
+++ b/crates/plankhead-core/tests/upgrade.rs
@@ -174,7 +174,7 @@
         assert_eq!(ended.len(), 1);
     }
     assert!(ledger.written(&placed));
-    let keys = ledger.jobs[&id()].stored(&id());
+    let keys: Vec<String> = ledger.jobs[&id()].stored(&id()).into_iter().map(|stored| stored.key).collect();
     assert!(
         keys.contains(&"run/job-000412/0".to_string()),
         "the old chunk is dropped with the job: {keys:?}"
--- /dev/null
+++ b/crates/plankhead-standins/src/bin/freeze.rs
@@ -0,0 +1,48 @@
+//! Pauses and resumes real controller processes under load, and counts what the cloud did
+//! for those that did not hold the lease any more. Run by hand:
+//!
+//!     cargo run --release -p plankhead-standins --bin freeze -- --pauses 1000 \
+//!         --node-arguments "--fencing deploy/fencing.json"
+//!
+//! It ends with an error if it finds a stale effect while fencing is on.
+
+use clap::Parser;
+use plankhead_standins::freeze::{self, Pauses};
+use plankhead_standins::Load;
+use std::process::ExitCode;
+use std::time::Duration;
+
+#[derive(Debug, Parser)]
+struct Args {
+    #[command(flatten)]
+    load: Load,
+    #[command(flatten)]
+    pauses: Pauses,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> std::io::Result<ExitCode> {
+    let args = Args::parse();
+    let outcome = freeze::run(&args.load, &args.pauses).await?;
+    let found = outcome.found;
+    println!(
+        "{} pauses, {} terms, {} effects, {} of former holders, {} stale, {} jobs over",
+        outcome.pauses, found.terms, found.effects, found.of_former, found.stale, outcome.jobs_over
+    );
+    println!(
+        "{} changes in the state service, {} of records of duties",
+        outcome.changes, outcome.duty_changes
+    );
+    let mut gaps = outcome.gaps;
+    gaps.sort();
+    let at = |share: f64| gaps.get((gaps.len() as f64 * share) as usize).copied().unwrap_or(Duration::ZERO);
+    println!(
+        "from a lease's end to the next leader's first effect: {} times, quartiles {:.2?} {:.2?} {:.2?}",
+        gaps.len(),
+        at(0.25),
+        at(0.5),
+        at(0.75)
+    );
+    let fenced = args.load.node_arguments.contains("--fencing");
+    Ok(if fenced && found.stale > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
--- a/crates/plankhead/examples/load/cloud.rs
+++ b/crates/plankhead-standins/src/cloud.rs
@@ -1,16 +1,19 @@
 //! A cloud with one machine type in one zone.
 
+use crate::state::State;
 use crate::workers::{self, Workers};
-use crate::Args;
+use crate::Load;
 use hyper::body::Incoming;
 use hyper::{Method, Request};
 use plankhead::http::{self, Reply};
+use rand::RngExt;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 const MOST_CONNECTIONS: usize = 100;
 
@@ -22,39 +25,83 @@
     last: usize,
 }
 
+/// What an effect was about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Subject {
+    Rental(String),
+    Machine(String),
+}
+
+/// Something that the cloud did: machines were rented, or one was taken away.
+#[derive(Debug, Clone)]
+pub struct Effect {
+    /// The controller that had asked.
+    pub sender: String,
+    pub subject: Subject,
+    /// The state service's revision at that moment.
+    pub revision: u64,
+    pub at: Instant,
+}
+
+/// The cloud, with all that it did.
 #[derive(Debug)]
-struct Cloud {
+pub struct Cloud {
     most: usize,
     boot: Duration,
+    /// The least and the most seconds until a request is carried out.
+    delay_s: (f64, f64),
     workers: Arc<Workers>,
+    state: Arc<State>,
     rented: Mutex<Rented>,
+    effects: Mutex<Vec<Effect>>,
+    called: Notify,
 }
 
-/// Starts the cloud at an address.
-pub async fn start(address: SocketAddr, args: &Args, workers: Arc<Workers>) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+/// Starts the cloud with an address for each controller, so that it knows who asks.
+pub async fn start(
+    addresses: &[SocketAddr],
+    args: &Load,
+    workers: Arc<Workers>,
+    state: Arc<State>,
+) -> std::io::Result<Arc<Cloud>> {
     let cloud = Arc::new(Cloud {
         most: args.machines,
         boot: Duration::from_secs_f64(args.boot_s),
+        delay_s: (args.cloud_delay_least_s, args.cloud_delay_s.max(args.cloud_delay_least_s)),
         workers,
+        state,
         rented: Mutex::default(),
+        effects: Mutex::default(),
+        called: Notify::new(),
     });
-    tokio::spawn(http::serve(listener, MOST_CONNECTIONS, move |request| answer(cloud.clone(), request)));
-    Ok(())
+    for (number, address) in addresses.iter().enumerate() {
+        let listener = TcpListener::bind(address).await?;
+        let (cloud, sender) = (cloud.clone(), format!("plank-{number}"));
+        let handle = move |request| answer(cloud.clone(), sender.clone(), request);
+        tokio::spawn(http::serve(listener, MOST_CONNECTIONS, handle));
+    }
+    Ok(cloud)
 }
 
-async fn answer(cloud: Arc<Cloud>, request: Request<Incoming>) -> Reply {
+async fn answer(cloud: Arc<Cloud>, sender: String, request: Request<Incoming>) -> Reply {
     let (method, path) = (request.method().clone(), request.uri().path().to_owned());
     let after = request.uri().query().unwrap_or_default().contains("after=");
     let body = match http::body(request, http::MOST_REQUEST).await {
         Ok(body) => serde_json::from_slice(&body).unwrap_or(Value::Null),
         Err(reply) => return reply,
     };
+    if method == Method::POST {
+        cloud.called.notify_waiters();
+        // As a network does, it may carry requests out whose sender is long paused.
+        let (least, most) = cloud.delay_s;
+        let delay = rand::rng().random_range(least..=most);
+        tokio::time::sleep(Duration::from_secs_f64(delay)).await;
+    }
     let (status, body) = match (method, path.as_str()) {
         (Method::GET, "/catalog") => (200, cloud.catalog()),
         (Method::GET, "/hosts") => (200, cloud.list(after)),
-        (Method::POST, "/hosts/release") => (200, cloud.release(&body)),
-        (Method::POST, "/hosts") => cloud.rent(&body),
+        (Method::POST, "/hosts/release") => (200, cloud.release(&sender, &body)),
+        (Method::POST, "/hosts") => cloud.rent(&sender, &body),
         _ => (404, json!({})),
     };
     Reply { status, body: body.to_string().into_bytes(), retry: None }
@@ -65,6 +112,22 @@
         self.rented.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// All effects so far.
+    pub fn effects(&self) -> Vec<Effect> {
+        self.effects.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Waits until a rental or a return is asked for.
+    pub async fn called(&self) {
+        self.called.notified().await;
+    }
+
+    fn keep(&self, sender: &str, subject: Subject) {
+        let revision = self.state.revision();
+        let effect = Effect { sender: sender.into(), subject, revision, at: Instant::now() };
+        self.effects.lock().unwrap_or_else(PoisonError::into_inner).push(effect);
+    }
+
     fn catalog(&self) -> Value {
         json!({"rigs": [{"label": workers::MACHINE_TYPE, "cpus": 16, "gpus": 0, "ramGb": 128, "localGb": 50,
         "pullGbPerS": 0.8, "rate": 1.0, "marketPrice": 0.3, "readyS": self.boot.as_secs_f64(), "yards": [workers::ZONE]}]})
@@ -83,7 +146,7 @@
         json!({"hosts": hosts, "truncated": !rest && rented.machines.len() > 500})
     }
 
-    fn rent(&self, body: &Value) -> (u16, Value) {
+    fn rent(&self, sender: &str, body: &Value) -> (u16, Value) {
         let request = body["hire"].as_str().unwrap_or_default().to_owned();
         let mut rented = self.rented();
         if let Some(hosts) = rented.requests.get(&request) {
@@ -102,15 +165,18 @@
             self.workers.boot(number, self.boot);
         }
         let names: Vec<String> = (first..first + count).map(workers::name).collect();
+        self.keep(sender, Subject::Rental(request.clone()));
         rented.requests.insert(request, names.clone());
         (200, json!({ "hosts": names }))
     }
 
-    fn release(&self, body: &Value) -> Value {
+    fn release(&self, sender: &str, body: &Value) -> Value {
         let mut rented = self.rented();
         let names = body["hosts"].as_array().cloned().unwrap_or_default();
         for number in names.iter().filter_map(Value::as_str).filter_map(workers::number) {
-            rented.machines.remove(&number);
+            if rented.machines.remove(&number).is_some() {
+                self.keep(sender, Subject::Machine(workers::name(number)));
+            }
             self.workers.stop(number);
         }
         json!({})
--- a/crates/plankhead/examples/load/counts.rs
+++ b/crates/plankhead-standins/src/counts.rs
@@ -15,9 +15,11 @@
     StateTransaction,
     StateLease,
     StateWatch,
+    /// A user was told that a job is over.
+    JobOver,
 }
 
-const KINDS: [(Kind, &str); 10] = [
+const KINDS: [(Kind, &str); 11] = [
     (Kind::Report, "reports"),
     (Kind::Command, "direct commands"),
     (Kind::Submission, "submissions"),
@@ -28,6 +30,7 @@
     (Kind::StateTransaction, "state transactions"),
     (Kind::StateLease, "state lease calls"),
     (Kind::StateWatch, "state watches"),
+    (Kind::JobOver, "jobs over"),
 ];
 
 #[derive(Debug, Default)]
@@ -42,6 +45,10 @@
         std::array::from_fn(|i| self.0[i].load(Ordering::Relaxed))
     }
 
+    pub fn jobs_over(&self) -> u64 {
+        self.0[Kind::JobOver as usize].load(Ordering::Relaxed)
+    }
+
     /// Prints what came since `before`, in a second.
     pub fn print(&self, before: &[u64; KINDS.len()], seconds: u64) {
         let now = self.read();
--- /dev/null
+++ b/crates/plankhead-standins/src/freeze.rs
@@ -0,0 +1,134 @@
+//! Pauses and resumes controller processes, at random instants and at chosen ones.
+
+use crate::cloud::Cloud;
+use crate::counts::Counts;
+use crate::nodes::{Cluster, Running};
+use crate::stale::{self, Found};
+use crate::state::State;
+use crate::{users, workers, Load};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How long a chosen instant is waited for.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// Until the first pause: the cluster elects a leader and rents its first machines.
+const WARM_UP: Duration = Duration::from_secs(6);
+/// After the last one: what is under way arrives.
+const COOL_DOWN: Duration = Duration::from_secs(5);
+
+/// How pauses are set.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Pauses {
+    /// How many.
+    #[arg(long, default_value_t = 1000)]
+    pub pauses: u32,
+    /// The seed of instants and lengths.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Seconds that a pause lasts at the most; the leader's lease lasts 1.5.
+    #[arg(long, default_value_t = 4.0)]
+    pub longest_s: f64,
+    /// Seconds that a pause lasts at the least.
+    #[arg(long, default_value_t = 0.2)]
+    pub shortest_s: f64,
+    /// At which instants.
+    #[arg(long, value_enum, default_value_t = Instants::Any)]
+    pub instants: Instants,
+}
+
+/// At which instants processes are paused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum Instants {
+    /// Any of the others, drawn each time.
+    Any,
+    Random,
+    /// A record of duties was just written.
+    RecordWritten,
+    /// A rental or a return has just reached the cloud, which has not carried it out.
+    CloudCalled,
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Outcome {
+    pub found: Found,
+    pub pauses: u32,
+    /// Changes of the state service, and those of records of duties.
+    pub changes: usize,
+    pub duty_changes: usize,
+    /// From the end of a lease to the first effect of the next leader, each time.
+    pub gaps: Vec<Duration>,
+    pub jobs_over: u64,
+}
+
+/// Runs a cluster under load, pauses its processes, and checks what the cloud did.
+pub async fn run(load: &Load, pauses: &Pauses) -> std::io::Result<Outcome> {
+    let counts = Arc::new(Counts::default());
+    let (state_address, state) = crate::state::start(counts.clone()).await?;
+    let cluster = Cluster::plan(load, state_address)?;
+    let workload = Arc::new(users::Workload::default());
+    let workers =
+        workers::Workers::start(load, cluster.api_addresses(), workload.clone(), counts.clone()).await?;
+    let cloud = crate::cloud::start(&cluster.cloud_addresses, load, workers, state.clone()).await?;
+    let mut running = cluster.start(load)?;
+    tokio::spawn(users::run(load.clone(), cluster.api_addresses(), workload, counts.clone()));
+    tokio::time::sleep(WARM_UP).await;
+    let mut random = StdRng::seed_from_u64(pauses.seed);
+    for _ in 0..pauses.pauses {
+        pause_once(&running, &state, &cloud, pauses, &mut random).await;
+    }
+    tokio::time::sleep(COOL_DOWN).await;
+    running.stop();
+    let (history, effects) = (state.history(), cloud.effects());
+    Ok(Outcome {
+        found: stale::check(&history, &effects),
+        pauses: pauses.pauses,
+        changes: history.len(),
+        duty_changes: history.iter().filter(|written| written.key.starts_with("duty/")).count(),
+        gaps: gaps(&state, &cloud),
+        jobs_over: counts.jobs_over(),
+    })
+}
+
+async fn pause_once(running: &Running, state: &State, cloud: &Cloud, pauses: &Pauses, random: &mut StdRng) {
+    let drawn = match random.random_range(0..4) {
+        0 => Instants::RecordWritten,
+        1 | 2 => Instants::CloudCalled,
+        _ => Instants::Random,
+    };
+    let instance = if pauses.instants == Instants::Any { drawn } else { pauses.instants };
+    match instance {
+        Instants::Any | Instants::Random => {
+            tokio::time::sleep(Duration::from_millis(random.random_range(50..1_500))).await;
+        }
+        Instants::RecordWritten => _ = tokio::time::timeout(PATIENCE, state.written("duty/")).await,
+        Instants::CloudCalled => _ = tokio::time::timeout(PATIENCE, cloud.called()).await,
+    }
+    let any = random.random_range(0..running.len());
+    let holder = state.holder().and_then(|host| host.strip_prefix("plank-")?.parse().ok());
+    let node = if random.random_bool(0.2) { any } else { holder.unwrap_or(any) };
+    running.pause(node);
+    let length = random.random_range(pauses.shortest_s..=pauses.longest_s.max(pauses.shortest_s));
+    tokio::time::sleep(Duration::from_secs_f64(length)).await;
+    running.resume(node);
+}
+
+/// From each end of a lease to the next effect of a sender that holds it.
+fn gaps(state: &State, cloud: &Cloud) -> Vec<Duration> {
+    let (history, effects) = (state.history(), cloud.effects());
+    let mut gaps = Vec::new();
+    let mut ended: Option<Instant> = None;
+    let mut effects = effects.iter().peekable();
+    for written in history.iter().filter(|written| written.key == "lead") {
+        if let (Some(at), true) = (ended, written.value.is_some()) {
+            while effects.next_if(|effect| effect.revision < written.revision).is_some() {}
+            if let Some(effect) = effects.peek() {
+                gaps.push(effect.at.saturating_duration_since(at));
+            }
+        }
+        ended = written.value.is_none().then_some(written.at);
+    }
+    gaps
+}
--- a/crates/plankhead/examples/load/nodes.rs
+++ b/crates/plankhead-standins/src/nodes.rs
@@ -1,6 +1,8 @@
 //! The controller processes under load: their settings, and what they use.
 
-use crate::{users, workers, Args};
+use crate::{users, workers, Load};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -12,7 +14,8 @@
 /// Addresses of a cluster that is not started yet.
 #[derive(Debug)]
 pub struct Cluster {
-    pub cloud_address: SocketAddr,
+    /// The cloud's, one for each node.
+    pub cloud_addresses: Vec<SocketAddr>,
     state_address: SocketAddr,
     api: Vec<SocketAddr>,
     peer: Vec<SocketAddr>,
@@ -36,18 +39,25 @@
 }
 
 impl Cluster {
-    pub fn plan(args: &Args, state_address: SocketAddr) -> std::io::Result<Self> {
+    pub fn plan(args: &Load, state_address: SocketAddr) -> std::io::Result<Self> {
         let addresses = || (0..args.nodes).map(|_| free()).collect::<std::io::Result<Vec<_>>>();
-        let folder = std::env::temp_dir().join(format!("plankhead-load-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("plankhead-{}-{}", std::process::id(), free()?.port()));
         std::fs::create_dir_all(&folder)?;
-        Ok(Self { cloud_address: free()?, state_address, api: addresses()?, peer: addresses()?, folder })
+        Ok(Self {
+            cloud_addresses: addresses()?,
+            state_address,
+            api: addresses()?,
+            peer: addresses()?,
+            folder,
+        })
     }
 
     pub fn api_addresses(&self) -> Vec<SocketAddr> {
         self.api.clone()
     }
 
-    fn settings(&self, args: &Args, node: usize) -> Value {
+    fn settings(&self, args: &Load, node: usize) -> Value {
         let host = |i: usize| format!("plank-{i}");
         let sibling =
             |i| json!({"host_name": host(i), "location": workers::ZONE, "address": self.peer[i].to_string()});
@@ -57,7 +67,7 @@
             "host_name": host(node), "location": workers::ZONE,
             "api_addr": self.api[node].to_string(), "peer_bind": self.peer[node].to_string(),
             "siblings": siblings,
-            "endpoints": {"cloud": self.cloud_address.to_string(), "state": self.state_address.to_string()},
+            "endpoints": {"cloud": self.cloud_addresses[node].to_string(), "state": self.state_address.to_string()},
             "params": {
                 "nodes": args.nodes, "zones": [workers::ZONE],
                 "teams": [{"name": users::TEAM, "cpus": cpus, "cpus_max": cpus * 2.0, "gpus": 0.0, "gpus_max": 0.0}],
@@ -71,7 +81,7 @@
         })
     }
 
-    pub fn start(&self, args: &Args) -> std::io::Result<Running> {
+    pub fn start(&self, args: &Load) -> std::io::Result<Running> {
         let mut children = Vec::new();
         for node in 0..args.nodes {
             let path = self.folder.join(format!("node-{node}.json"));
@@ -82,7 +92,8 @@
             words.push(&binary);
             let log = std::fs::File::create(self.folder.join(format!("node-{node}.log")))?;
             let mut command = Command::new(words[0]);
-            command.args(&words[1..]).arg("--config").arg(&path).stdin(Stdio::null()).stderr(log);
+            command.args(&words[1..]).args(args.node_arguments.split_whitespace());
+            command.arg("--config").arg(&path).stdin(Stdio::null()).stderr(log);
             children.push(command.spawn()?);
             if node == 0 {
                 // The first node is the one that is profiled: it shall lead.
@@ -98,7 +109,42 @@
     }
 }
 
+impl Drop for Running {
+    fn drop(&mut self) {
+        for child in &mut self.0 {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
 impl Running {
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Stops a process where it stands.
+    pub fn pause(&self, node: usize) {
+        self.signal(node, Signal::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self, node: usize) {
+        self.signal(node, Signal::SIGCONT);
+    }
+
+    fn signal(&self, node: usize, signal: Signal) {
+        let process = self.0.get(node).and_then(|child| i32::try_from(child.id()).ok());
+        if let Some(process) = process {
+            // A process that has ended by itself can't be paused; the run goes on.
+            let _ = kill(Pid::from_raw(process), signal);
+        }
+    }
+
     pub fn usage(&mut self) -> Vec<Usage> {
         self.0.iter().map(|child| usage(child.id())).collect()
     }
--- /dev/null
+++ b/crates/plankhead-standins/src/stale.rs
@@ -0,0 +1,58 @@
+//! Counts what the cloud did for controllers that did not hold the lease any more.
+//!
+//! The check reads what the stand-ins kept, and calls nothing of the code under test. An
+//! effect is a rental that rents machines or a return that takes machines away which were
+//! there. It is **stale** if, at the revision of the state service at which the cloud
+//! carried it out, the lease's key was not its sender's, and no record under `duty/` named
+//! the rental or the machine.
+
+use crate::cloud::{Effect, Subject};
+use crate::state::Written;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// What was found.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Found {
+    pub effects: usize,
+    /// Effects for senders whose lease was over.
+    pub of_former: usize,
+    pub stale: usize,
+    /// Terms of the lease.
+    pub terms: usize,
+}
+
+/// Checks the effects, in the order in which they were carried out.
+pub fn check(history: &[Written], effects: &[Effect]) -> Found {
+    let mut rows: BTreeMap<&str, &Value> = BTreeMap::new();
+    let mut next = history.iter().peekable();
+    let mut found = Found { effects: effects.len(), ..Found::default() };
+    found.terms = history.iter().filter(|written| written.key == "lead" && written.value.is_some()).count();
+    for effect in effects {
+        while let Some(written) = next.next_if(|written| written.revision <= effect.revision) {
+            match &written.value {
+                Some(value) => rows.insert(&written.key, value),
+                None => rows.remove(written.key.as_str()),
+            };
+        }
+        let holder = rows.get("lead").and_then(|lease| lease["host"].as_str());
+        if holder == Some(effect.sender.as_str()) {
+            continue;
+        }
+        found.of_former += 1;
+        found.stale += usize::from(!is_recorded(&rows, &effect.subject));
+    }
+    found
+}
+
+fn is_recorded(rows: &BTreeMap<&str, &Value>, subject: &Subject) -> bool {
+    let pages = rows.iter().filter(|(key, _)| key.starts_with("duty/"));
+    let mut duties = pages.flat_map(|(_, page)| page["duties"].as_array().into_iter().flatten());
+    duties.any(|duty| match (subject, duty["kind"].as_str()) {
+        (Subject::Rental(name), Some("rent")) => duty["name"] == name.as_str(),
+        (Subject::Machine(name), Some("return" | "reclaim")) => {
+            duty["hosts"].as_array().is_some_and(|hosts| hosts.iter().any(|host| host == name.as_str()))
+        }
+        _ => false,
+    })
+}
--- a/crates/plankhead/examples/load/state.rs
+++ b/crates/plankhead-standins/src/state.rs
@@ -30,22 +30,41 @@
     ends: Instant,
 }
 
+/// A change as watches tell it, and when it was made.
+#[derive(Debug)]
+struct Event {
+    revision: u64,
+    key: String,
+    told: Value,
+    at: Instant,
+}
+
+/// A change of a key; without a value the key went.
+#[derive(Debug, Clone)]
+pub struct Written {
+    pub revision: u64,
+    pub key: String,
+    pub value: Option<Value>,
+    pub at: Instant,
+}
+
 #[derive(Debug, Default)]
 struct Keys {
     rows: BTreeMap<String, Stored>,
-    history: Vec<(u64, String, Value)>,
+    history: Vec<Event>,
     revision: u64,
     leases: BTreeMap<u64, Lease>,
 }
 
+/// The state service.
 #[derive(Debug, Default)]
-struct State {
+pub struct State {
     keys: Mutex<Keys>,
     changed: Notify,
 }
 
 /// Starts the service and returns its address.
-pub async fn start(counts: Arc<Counts>) -> std::io::Result<SocketAddr> {
+pub async fn start(counts: Arc<Counts>) -> std::io::Result<(SocketAddr, Arc<State>)> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let state = Arc::new(State::default());
@@ -56,9 +75,10 @@
             expiring.expire(Instant::now());
         }
     });
-    let handle = move |request| answer(state.clone(), counts.clone(), request);
+    let serving = state.clone();
+    let handle = move |request| answer(serving.clone(), counts.clone(), request);
     tokio::spawn(http::serve(listener, MOST_CONNECTIONS, handle));
-    Ok(address)
+    Ok((address, state))
 }
 
 async fn answer(state: Arc<State>, counts: Arc<Counts>, request: Request<Incoming>) -> Reply {
@@ -110,6 +130,40 @@
         self.keys.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub fn revision(&self) -> u64 {
+        self.keys().revision
+    }
+
+    /// The host that holds the leader's lease.
+    pub fn holder(&self) -> Option<String> {
+        let keys = self.keys();
+        Some(keys.rows.get("lead")?.value["host"].as_str()?.to_owned())
+    }
+
+    /// All changes so far.
+    pub fn history(&self) -> Vec<Written> {
+        let written = |event: &Event| Written {
+            revision: event.revision,
+            key: event.key.clone(),
+            value: event.told.get("write").map(|_| event.told["value"].clone()),
+            at: event.at,
+        };
+        self.keys().history.iter().map(written).collect()
+    }
+
+    /// Waits until a key that begins so is written.
+    pub async fn written(&self, prefix: &str) {
+        let before = self.keys().history.len();
+        loop {
+            let changed = self.changed.notified();
+            let news = |event: &Event| event.key.starts_with(prefix) && event.told.get("write").is_some();
+            if self.keys().history[before..].iter().any(news) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     fn get(&self, key: &str) -> (u16, Value) {
         let keys = self.keys();
         match keys.rows.get(key) {
@@ -140,11 +194,11 @@
             let changed = self.changed.notified();
             {
                 let keys = self.keys();
-                let first = keys.history.partition_point(|(revision, _, _)| *revision <= after);
+                let first = keys.history.partition_point(|event| event.revision <= after);
                 let events: Vec<&Value> = keys.history[first..]
                     .iter()
-                    .filter(|(_, key, _)| key.starts_with(prefix))
-                    .map(|e| &e.2)
+                    .filter(|event| event.key.starts_with(prefix))
+                    .map(|event| &event.told)
                     .collect();
                 if !events.is_empty() {
                     return (200, json!({"epoch": keys.revision, "events": events}));
@@ -225,13 +279,17 @@
         if let Some(key) = change["write"].as_str().map(str::to_owned) {
             let lease = change["hold"].as_u64();
             self.rows.insert(key.clone(), Stored { value: change["value"].clone(), stamp, lease });
-            self.history.push((stamp, key, change));
+            self.tell(stamp, key, change);
         } else if let Some(key) = change["drop"].as_str().map(str::to_owned) {
             self.rows.remove(&key);
-            self.history.push((stamp, key, change));
+            self.tell(stamp, key, change);
         }
     }
 
+    fn tell(&mut self, revision: u64, key: String, told: Value) {
+        self.history.push(Event { revision, key, told, at: Instant::now() });
+    }
+
     /// Ends a lease; its keys go with it.
     fn end(&mut self, id: u64) -> bool {
         if self.leases.remove(&id).is_none() {
--- a/crates/plankhead/examples/load/users.rs
+++ b/crates/plankhead-standins/src/users.rs
@@ -1,7 +1,7 @@
 //! Users who submit jobs, ask about them until they are over, and cancel some.
 
 use crate::counts::{Counts, Kind};
-use crate::Args;
+use crate::Load;
 use hyper::Method;
 use plankhead::http::Client;
 use rand::RngExt;
@@ -37,7 +37,7 @@
 }
 
 /// Submits jobs for ever.
-pub async fn run(args: Args, nodes: Vec<SocketAddr>, workload: Arc<Workload>, counts: Arc<Counts>) {
+pub async fn run(args: Load, nodes: Vec<SocketAddr>, workload: Arc<Workload>, counts: Arc<Counts>) {
     for number in 1_u64.. {
         let node = nodes[number as usize % nodes.len()];
         let user = User { client: Client::new(node), counts: counts.clone(), id: format!("job-{number:06}") };
@@ -48,6 +48,9 @@
         if number <= args.initial {
             continue;
         }
+        if args.idle_s > 0.0 && number % 10 == 0 {
+            tokio::time::sleep(Duration::from_secs_f64(args.idle_s)).await;
+        }
         let pause = -rand::rng().random::<f64>().max(1e-9).ln() / args.jobs_per_s;
         tokio::time::sleep(Duration::from_secs_f64(pause.min(30.0))).await;
     }
@@ -60,7 +63,7 @@
 }
 
 impl User {
-    fn job(&self, args: &Args) -> (Value, Duration) {
+    fn job(&self, args: &Load) -> (Value, Duration) {
         let mut random = rand::rng();
         let run_s = args.run_s * random.random_range(0.4..1.6);
         let tasks = random.random_range(1..args.tasks * 2);
@@ -92,12 +95,14 @@
                 let abort = format!("{path}/abort");
                 let answer = self.call(Kind::Cancellation, Method::POST, &abort, Vec::new()).await;
                 if answer.is_some() {
+                    self.counts.add(Kind::JobOver);
                     return;
                 }
             }
             let answer = self.call(Kind::Question, Method::GET, &path, Vec::new()).await;
             let status = answer.as_ref().and_then(|a| a["status"].as_str());
             if matches!(status, Some("done" | "cancelled")) {
+                self.counts.add(Kind::JobOver);
                 return;
             }
         }
--- a/crates/plankhead/examples/load/workers.rs
+++ b/crates/plankhead-standins/src/workers.rs
@@ -3,7 +3,7 @@
 
 use crate::counts::{Counts, Kind};
 use crate::users::Workload;
-use crate::Args;
+use crate::Load;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Method, Request};
@@ -74,7 +74,7 @@
 
 impl Workers {
     pub async fn start(
-        args: &Args,
+        args: &Load,
         nodes: Vec<SocketAddr>,
         workload: Arc<Workload>,
         counts: Arc<Counts>,
--- a/crates/plankhead/src/driver.rs
+++ b/crates/plankhead/src/driver.rs
@@ -10,7 +10,7 @@
 use plankhead_core::node::{Node, Times};
 use plankhead_core::protocol::{Answer, Ask, Effect, Event, Report};
 use std::collections::{HashMap, VecDeque};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 use thiserror::Error;
@@ -74,6 +74,8 @@
     queue: mpsc::Sender<Command>,
     healthy: Arc<AtomicBool>,
     siblings: Siblings,
+    /// The highest fencing token seen; 0 while fencing is off.
+    highest_token: Arc<AtomicU64>,
 }
 
 impl Handle {
@@ -99,11 +101,25 @@
         self.answer(request).await.map_or_else(|refusal| refusal, |answer| reply(&answer))
     }
 
+    /// Whether an answer for a worker is not under a token that is over: the worker would
+    /// drop it, and stay here while its lease runs out.
+    fn is_current(&self, answer: &Reply) -> bool {
+        let highest = self.highest_token.load(Ordering::Relaxed);
+        let current = wire::answer_token(&answer.body).is_none_or(|token| token >= highest);
+        if !current {
+            tracing::info!("an answer passed on was refused: its token is over, {highest} was seen");
+        }
+        current
+    }
+
     /// Asks about a report, or has a sibling that leads asked.
     pub async fn beat(&self, report: Report, body: &[u8]) -> Reply {
         match self.answer(Request::Beat { report, relayed: false }).await {
             Ok(Answer::Relay { foreman }) => match self.siblings.get(&foreman) {
-                Some(sibling) => sibling.relay(body).await.unwrap_or_else(|| reply(&NOBODY)),
+                Some(sibling) => match sibling.relay(body).await {
+                    Some(answer) if self.is_current(&answer) => answer,
+                    _ => reply(&NOBODY),
+                },
                 None => reply(&NOBODY),
             },
             Ok(answer) => reply(&answer),
@@ -234,9 +250,15 @@
 pub async fn run(config: Config) -> Result<(), RunError> {
     let (queue, mut commands) = mpsc::channel(config.connections + MORE_COMMANDS);
     let healthy = Arc::new(AtomicBool::new(true));
+    let highest_token = Arc::new(AtomicU64::new(0));
     let sibling = |(name, at): &(String, _)| (name.clone(), Arc::new(Sibling::new(*at)));
     let siblings: Siblings = Arc::new(config.siblings.iter().map(sibling).collect());
-    let handle = Handle { queue: queue.clone(), healthy: healthy.clone(), siblings: siblings.clone() };
+    let handle = Handle {
+        queue: queue.clone(),
+        healthy: healthy.clone(),
+        siblings: siblings.clone(),
+        highest_token: highest_token.clone(),
+    };
     let (users, peers) = (listen(config.api).await?, listen(config.peer).await?);
     let to_api = handle.clone();
     let per_connection = move || {
@@ -282,6 +304,7 @@
             outside.perform(effect);
         }
         healthy.store(node.healthy(times.now), Ordering::Relaxed);
+        highest_token.store(node.highest_token(), Ordering::Relaxed);
         // A timer that is due anyway stays: each one that is set again costs something.
         let next_due = start + (node.next_wake(times.now) - EPOCH);
         let next_due = outside.asks.expire(now).map_or(next_due, |at| next_due.min(at));
--- a/crates/plankhead/src/wire.rs
+++ b/crates/plankhead/src/wire.rs
@@ -474,6 +474,15 @@
     Some((hosts, page.truncated))
 }
 
+/// The token of an answer to a report, if it is one.
+pub fn answer_token(body: &[u8]) -> Option<u64> {
+    #[derive(Deserialize)]
+    struct Token {
+        baton: u64,
+    }
+    serde_json::from_slice::<Token>(body).ok().map(|answer| answer.baton)
+}
+
 pub fn rental(rental: &Rental) -> Value {
     let Rental { name, machine_type, zone, spot, count } = rental;
     json!({"hire": name, "rig": machine_type, "yard": zone, "loaners": spot, "number": count})
--- /dev/null
+++ b/crates/plankhead/tests/freezes.rs
@@ -0,0 +1,101 @@
+//! Real controller processes, paused with a call to the cloud under way: without fencing
+//! the cloud does for the paused process what nobody knows of, with it nothing.
+//!
+//! The thousand pauses are a program of their own: see the README.
+
+#![allow(clippy::unwrap_used)]
+
+use clap::Parser;
+use plankhead_standins::cloud::{Effect, Subject};
+use plankhead_standins::freeze::{self, Outcome, Pauses};
+use plankhead_standins::stale;
+use plankhead_standins::state::Written;
+use plankhead_standins::Load;
+use serde_json::{json, Value};
+use std::time::Instant;
+
+#[derive(Debug, Parser)]
+struct Args {
+    #[command(flatten)]
+    load: Load,
+    #[command(flatten)]
+    pauses: Pauses,
+}
+
+/// Pauses the leader for longer than its lease of 1.5 s whenever it has asked the cloud
+/// for something, which the cloud carries out 2 to 3 s later.
+async fn pauses(node_arguments: &str) -> Outcome {
+    let args = Args::parse_from([
+        "freezes",
+        "--binary",
+        env!("CARGO_BIN_EXE_plankhead"),
+        "--node-arguments",
+        node_arguments,
+        "--nodes=3",
+        "--machines=20",
+        "--jobs-per-s=4",
+        "--idle-s=5",
+        "--run-s=1",
+        "--tasks=4",
+        "--cpus=8",
+        "--boot-s=0.5",
+        "--report-s=0.5",
+        "--cloud-delay-least-s=2",
+        "--cloud-delay-s=3",
+        "--pauses=3",
+        "--shortest-s=4",
+        "--longest-s=5",
+        "--instants=cloud-called",
+    ]);
+    freeze::run(&args.load, &args.pauses).await.unwrap()
+}
+
+#[tokio::test]
+async fn paused_processes_do_nothing_stale() {
+    let fencing = concat!("--fencing ", env!("CARGO_MANIFEST_DIR"), "/../../deploy/fencing.json");
+    let (fenced, open) = tokio::join!(pauses(fencing), pauses(""));
+    assert_eq!(fenced.found.stale, 0, "{fenced:?}");
+    assert!(fenced.found.effects > 0 && fenced.duty_changes > 0, "{fenced:?}");
+    assert!(open.found.stale > 0, "the check finds nothing without fencing: {open:?}");
+    assert_eq!(open.duty_changes, 0, "{open:?}");
+}
+
+/// The check itself, on histories written by hand.
+#[test]
+fn the_check_tells_stale_effects() {
+    let written = |revision, key: &str, value: Option<Value>| Written {
+        revision,
+        key: key.into(),
+        value,
+        at: Instant::now(),
+    };
+    let effect = |sender: &str, subject, revision| Effect {
+        sender: sender.into(),
+        subject,
+        revision,
+        at: Instant::now(),
+    };
+    let lease = |host: &str| Some(json!({"host": host, "boot": 1, "hold": 1}));
+    let record = json!({"format": 1, "duties": [{"kind": "rent", "name": "r-1"}, {"kind": "return", "hosts": ["i-2"]}]});
+    let history = [
+        written(1, "lead", lease("plank-0")),
+        written(2, "duty/1/0", Some(record)),
+        written(3, "lead", None),
+        written(4, "lead", lease("plank-1")),
+        written(5, "duty/1/0", None),
+    ];
+    let rental = |name: &str| Subject::Rental(name.into());
+    let machine = |name: &str| Subject::Machine(name.into());
+    let count = |effects: &[Effect]| {
+        let found = stale::check(&history, effects);
+        (found.of_former, found.stale)
+    };
+    assert_eq!(count(&[effect("plank-0", rental("r-9"), 1)]), (0, 0), "the holder's own");
+    assert_eq!(count(&[effect("plank-1", rental("r-9"), 1)]), (1, 1), "not the holder's");
+    assert_eq!(count(&[effect("plank-0", rental("r-1"), 3)]), (1, 0), "recorded");
+    assert_eq!(count(&[effect("plank-0", machine("i-2"), 4)]), (1, 0), "recorded, under the next");
+    assert_eq!(count(&[effect("plank-0", machine("r-1"), 4)]), (1, 1), "recorded as something else");
+    assert_eq!(count(&[effect("plank-0", rental("i-2"), 4)]), (1, 1), "recorded as something else");
+    assert_eq!(count(&[effect("plank-0", machine("i-2"), 5)]), (1, 1), "its record is gone");
+    assert_eq!(count(&[effect("plank-1", machine("i-3"), 5)]), (0, 0), "the next holder's own");
+}
