Fencing: a record counts only under its writer's lease; 4,000 machines in the model

Change: both checks count a record only if it was written under its holder's lease; the node test places on another machine. A core test opens a fleet of 4,000 machines, ends its leader while all run, and has all given back.

--- /dev/null
+++ b/crates/plankhead-core/tests/large_fleet.rs
@@ -0,0 +1,54 @@
+//! Four thousand machines: the opening, a takeover and the return of them all. It fails if
+//! one machine is left out.
+
+#![allow(clippy::unwrap_used)]
+
+#[allow(dead_code)]
+mod before;
+#[allow(dead_code)]
+mod world;
+
+use world::{secs, Blow, Happening, Kind, Troubles, World, FLEET};
+
+const MACHINES: u32 = 4_000;
+const KIND: Kind = Kind {
+    fenced: true,
+    pool: MACHINES / 4,
+    capacity: MACHINES,
+    cap: 80_000.0,
+    write_rps: 200.0,
+    cloud_rps: 40.0,
+    page: 500,
+    look: secs(1),
+    ..FLEET
+};
+/// Jobs of so many tasks, each of which takes a whole machine.
+const TASKS: u32 = 100;
+
+#[test]
+fn four_thousand_machines() {
+    let mut world = World::of(KIND, 1, Troubles::default());
+    // Twice as many tasks as machines: the replays ask for the whole fleet.
+    let jobs = (MACHINES * 2 / TASKS) as usize;
+    world.plan(jobs, secs(1));
+    world.without_cancellations();
+    for job in world.jobs.iter_mut() {
+        (job.runs, job.spec.estimate) = (40.0, 40.0);
+        let spec = &mut job.spec;
+        (spec.tasks, spec.each.cpus, spec.gang, spec.scatter) = (TASKS, 8.0, false, false);
+        (spec.zone, spec.one_zone, spec.spot) = (None, false, true);
+    }
+    // All run when the leader ends: the next one must take up every machine.
+    world.after(secs(55), Happening::Leader(Blow::End(secs(8))));
+    world.idle(secs(50));
+    let running = world.workers.len();
+    world.run(secs(600));
+    assert!(world.settled(), "jobs are left over");
+    println!("{running} machines after 50 s, {} starts, {} machines rented", world.starts, world.machines);
+    assert!(running as u32 * 100 >= MACHINES * 90, "{running} machines after 50 s");
+    assert_eq!(world.killed_by_release, 0, "machines with tasks were given back");
+    // Whatever is not wanted any more goes back, recorded and in as many calls as it takes.
+    world.idle(secs(200));
+    assert!(world.workers.len() < 40, "{} machines are left", world.workers.len());
+    assert_eq!(world.effects.stale, 0, "{:?}", world.effects);
+}
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -116,6 +116,8 @@
     /// State calls that wait for their reply.
     calls: Vec<(Call, StateOp)>,
     effects: Vec<Effect>,
+    /// Transactions that the state service took.
+    written: Vec<StateOp>,
 }
 
 impl Bench {
@@ -125,7 +127,8 @@
 
     fn of(settings: Settings) -> Self {
         let node = Node::new(settings);
-        let mut bench = Self { node, now: START, asks: 0, calls: Vec::new(), effects: Vec::new() };
+        let mut bench =
+            Self { node, now: START, asks: 0, calls: Vec::new(), effects: Vec::new(), written: Vec::new() };
         bench.step(Vec::new());
         bench
     }
@@ -166,6 +169,72 @@
         }
     }
 
+    /// Time passes, in which the state service takes all that is written and tells no news.
+    fn lives_quietly(&mut self, time: Duration) {
+        for _ in 0..time.as_millis() / 50 {
+            self.pass(ms(50));
+            for (call, op) in std::mem::take(&mut self.calls) {
+                match op {
+                    StateOp::Touch { .. } => self.reply_to(call, Ok(StateReply::Touched)),
+                    StateOp::Follow { after, .. } => {
+                        self.reply_to(call, Ok(StateReply::Events { epoch: after, events: Vec::new() }));
+                    }
+                    StateOp::Txn { .. } => {
+                        self.written.push(op);
+                        let epoch = 100 + self.written.len() as u64;
+                        self.reply_to(call, Ok(StateReply::Committed { epoch }));
+                    }
+                    _ => self.calls.push((call, op)),
+                }
+            }
+        }
+    }
+
+    /// An idle machine reports: what is it told?
+    fn idle(&mut self, host: &str, tick: u64) -> Vec<Order> {
+        let mut idle = report(tick, 41);
+        idle.host = host.into();
+        idle.tasks = [].into();
+        self.lives_quietly(ms(300));
+        let ask = self.ask(|ask| Event::Beat { ask, report: idle, relayed: false });
+        match self.answer(ask) {
+            Some(Answer::Beat { orders, .. }) => orders.clone(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// The cloud tells of a machine type that fits, and of no machines.
+    fn sees_the_cloud(&mut self) {
+        let rig = Rig {
+            label: "r".into(),
+            cpus: 8.0,
+            gpus: 0.0,
+            ram: 64.0,
+            cache_gb: 10.0,
+            pull_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.4,
+            boot: Duration::from_secs(5),
+            zones: vec!["z".into()],
+        };
+        let calls: Vec<(Call, CloudOp)> = self
+            .effects
+            .iter()
+            .filter_map(|e| match e {
+                Effect::Cloud { call, op } => Some((*call, op.clone())),
+                _ => None,
+            })
+            .collect();
+        for (call, op) in calls {
+            let reply = match op {
+                CloudOp::Catalog => CloudReply::Catalog(vec![rig.clone()]),
+                CloudOp::List { .. } => CloudReply::Page { hosts: Vec::new(), truncated: false },
+                CloudOp::Act(_) => continue,
+            };
+            self.step(vec![Event::Cloud { call, reply: Ok(reply) }]);
+        }
+    }
+
     fn reply_to(&mut self, call: Call, reply: Result<StateReply, CallError>) {
         self.step(vec![Event::State { call, reply }]);
     }
@@ -498,14 +567,11 @@
     let rows = vec![row("duty/30/0", &value, 8)];
     bench.reply(lists("duty/"), Ok(StateReply::Page { rows, truncated: false, epoch: 9 }));
     bench.reply(gets("target"), Ok(StateReply::Got(None)));
+    bench.sees_the_cloud();
     // The machine is there, idle, with room for the waiting job.
     for tick in 1..12 {
-        let mut idle = report(tick, 41);
-        idle.tasks = [].into();
-        let beat = bench.ask(|ask| Event::Beat { ask, report: idle, relayed: false });
-        let Some(Answer::Beat { orders, .. }) = bench.answer(beat) else { panic!("no answer") };
-        assert_eq!(*orders, Vec::new(), "something was placed there");
-        bench.lives(ms(300));
+        assert_eq!(bench.idle("i-1", tick), Vec::new(), "something was placed there");
+        bench.lives_quietly(ms(300));
     }
     let released = |e: &Effect| released(e).is_some_and(|hosts| hosts.iter().all(|h| &**h == "i-1"));
     let call = bench.effects.iter().find(|e| released(e)).map(|e| match e {
@@ -514,14 +580,17 @@
     });
     assert_eq!(bench.effects.iter().filter(|e| released(e)).count(), 1, "the return was not asked for once");
     bench.step(vec![Event::Cloud { call: call.unwrap(), reply: Ok(CloudReply::Released) }]);
-    bench.lives(Duration::from_secs(6));
+    bench.lives_quietly(Duration::from_secs(6));
     let drops = |op: &StateOp| {
         let of = |c: &Change| matches!(c, Change::Drop { key } if key == "duty/30/0");
         matches!(op, StateOp::Txn { conditions, changes } if changes.iter().any(of)
             && conditions.contains(&Condition { key: "lead".into(), stamp: 41 })
             && conditions.contains(&Condition { key: "duty/30/0".into(), stamp: 8 }))
     };
-    assert!(bench.calls.iter().any(|(_, op)| drops(op)), "its record is kept: {:?}", bench.calls);
+    assert!(bench.written.iter().any(drops), "its record is kept: {:?}", bench.written);
     let answered = bench.beat(20, 41);
     assert!(!matches!(bench.answer(answered), Some(Answer::Beat { .. })), "a machine that is gone is heard");
+    // Another machine like it takes the job.
+    let orders: Vec<Order> = (1..8).flat_map(|tick| bench.idle("i-2", tick)).collect();
+    assert!(orders.iter().any(|order| matches!(order, Order::Run { .. })), "nothing was placed at all");
 }
--- a/crates/plankhead-core/tests/world/script.rs
+++ b/crates/plankhead-core/tests/world/script.rs
@@ -125,6 +125,8 @@
         for change in changes {
             let Change::Write { key, value, .. } = change else { continue };
             if key.starts_with("duty/") {
+                let holder = key.split('/').nth(1).and_then(|token| token.parse().ok());
+                assert_eq!(self.kv.stamp("lead"), holder, "{key} was written without its holder's lease");
                 self.moment(Moment::DutyWritten);
             } else if key.starts_with("run/") {
                 self.moment(Moment::Placed);
--- a/crates/plankhead-standins/src/stale.rs
+++ b/crates/plankhead-standins/src/stale.rs
@@ -4,7 +4,8 @@
 //! effect is a rental that rents machines or a return that takes machines away which were
 //! there. It is **stale** if, at the revision of the state service at which the cloud
 //! carried it out, the lease's key was not its sender's, and no record under `duty/` named
-//! the rental or the machine.
+//! the rental or the machine. A record counts only if it was written while the lease was
+//! its writer's: the key holds the lease's revision.
 
 use crate::cloud::{Effect, Subject};
 use crate::state::Written;
@@ -25,12 +26,18 @@
 /// Checks the effects, in the order in which they were carried out.
 pub fn check(history: &[Written], effects: &[Effect]) -> Found {
     let mut rows: BTreeMap<&str, &Value> = BTreeMap::new();
+    let mut term = 0;
     let mut next = history.iter().peekable();
     let mut found = Found { effects: effects.len(), ..Found::default() };
     found.terms = history.iter().filter(|written| written.key == "lead" && written.value.is_some()).count();
     for effect in effects {
         while let Some(written) = next.next_if(|written| written.revision <= effect.revision) {
-            match &written.value {
+            if written.key == "lead" {
+                term = written.value.as_ref().map_or(0, |_| written.revision);
+            }
+            let writer = written.key.strip_prefix("duty/").and_then(|rest| rest.split('/').next());
+            let valid = writer.is_none_or(|token| token.parse() == Ok(term));
+            match written.value.as_ref().filter(|_| valid) {
                 Some(value) => rows.insert(&written.key, value),
                 None => rows.remove(written.key.as_str()),
             };
--- a/crates/plankhead/tests/freezes.rs
+++ b/crates/plankhead/tests/freezes.rs
@@ -77,12 +77,14 @@
     };
     let lease = |host: &str| Some(json!({"host": host, "boot": 1, "hold": 1}));
     let record = json!({"format": 1, "duties": [{"kind": "rent", "name": "r-1"}, {"kind": "return", "hosts": ["i-2"]}]});
+    let late = json!({"format": 1, "duties": [{"kind": "rent", "name": "r-6"}]});
     let history = [
         written(1, "lead", lease("plank-0")),
         written(2, "duty/1/0", Some(record)),
         written(3, "lead", None),
         written(4, "lead", lease("plank-1")),
         written(5, "duty/1/0", None),
+        written(6, "duty/1/0", Some(late)),
     ];
     let rental = |name: &str| Subject::Rental(name.into());
     let machine = |name: &str| Subject::Machine(name.into());
@@ -97,5 +99,6 @@
     assert_eq!(count(&[effect("plank-0", machine("r-1"), 4)]), (1, 1), "recorded as something else");
     assert_eq!(count(&[effect("plank-0", rental("i-2"), 4)]), (1, 1), "recorded as something else");
     assert_eq!(count(&[effect("plank-0", machine("i-2"), 5)]), (1, 1), "its record is gone");
+    assert_eq!(count(&[effect("plank-0", rental("r-6"), 6)]), (1, 1), "recorded when the lease was over");
     assert_eq!(count(&[effect("plank-1", machine("i-3"), 5)]), (0, 0), "the next holder's own");
 }
