No task waits for an idle machine that is kept for a gang

A small task was kept off the machines that are reserved for the gang, found room elsewhere with a fetch, and was then booked on the idle reserved machine that held its image, pass after pass: neither it nor the gang began, while three machines stood idle for a minute.

Change: a reservation's machines are not waited for (easy::sooner, sooner_all). Also: more held reports and a larger pulse are read, for 4,000 machines.

--- a/crates/plankhead-core/src/easy.rs
+++ b/crates/plankhead-core/src/easy.rs
@@ -316,15 +316,23 @@
 }
 
 /// A busy machine with the image that opens before the fetch on `slot` would
-/// end, and when.
-fn sooner(slots: &[Slot], work: &Work, now: Duration, slot: usize) -> Option<(Duration, usize)> {
+/// end, and when. Not one on which room is kept for others: a task that had been kept off
+/// an idle machine waited for just that one, pass after pass, so that neither it nor the
+/// gang that the machine was kept for began for a minute.
+fn sooner(
+    slots: &[Slot],
+    work: &Work,
+    now: Duration,
+    slot: usize,
+    held: Option<&Reservation>,
+) -> Option<(Duration, usize)> {
     let fetch = slots[slot].fetch(work);
     let mut best: Option<(Duration, usize)> = None;
     if fetch.is_zero() {
         return best;
     }
     for (i, s) in slots.iter().enumerate() {
-        if !s.images.contains(&work.image) || !suits(s, work) {
+        if !s.images.contains(&work.image) || !suits(s, work) || is_kept(held, i) {
             continue;
         }
         let until = best.map_or(now + fetch, |(at, _)| at);
@@ -344,12 +352,19 @@
     work: &Work,
     now: Duration,
     all: &[usize],
+    held: Option<&Reservation>,
 ) -> Option<(Duration, Vec<(usize, u32)>)> {
     let fetch = all.iter().map(|s| slots[*s].fetch(work)).max()?;
     if now + fetch <= work.due {
         return None;
     }
-    opens_all(slots, work, now, |slot| slot.images.contains(&work.image)).filter(|(at, _)| *at <= work.due)
+    let such = |i: usize| slots[i].images.contains(&work.image) && !is_kept(held, i);
+    opens_all(slots, work, now, such).filter(|(at, _)| *at <= work.due)
+}
+
+/// Whether room on the machine is kept for others.
+fn is_kept(held: Option<&Reservation>, slot: usize) -> bool {
+    held.is_some_and(|r| r.on(slot).is_some())
 }
 
 /// The least that any pending task takes of each resource.
@@ -426,7 +441,7 @@
                 if begun > 0 && begun + all.len() > most {
                     return starts;
                 }
-                match sooner_all(slots, &work[i], now, &all) {
+                match sooner_all(slots, &work[i], now, &all, binding) {
                     Some((at, holds)) => {
                         let at = at.max(now + SOON);
                         for s in holds.into_iter().flat_map(|(s, many)| (0..many).map(move |_| s)) {
@@ -456,7 +471,7 @@
                 }
                 break;
             };
-            let booked = sooner(slots, &work[i], now, s);
+            let booked = sooner(slots, &work[i], now, s, binding);
             let used = match booked {
                 // Room held for a task that waits for this machine's image:
                 // nothing smaller slips in meanwhile.
@@ -534,9 +549,9 @@
     slots: &[Slot],
     work: &Work,
     now: Duration,
-    such: impl Fn(&Slot) -> bool,
+    such: impl Fn(usize) -> bool,
 ) -> Option<(Duration, Vec<(usize, u32)>)> {
-    let fit = |i: &usize| suits(&slots[*i], work) && such(&slots[*i]);
+    let fit = |i: &usize| suits(&slots[*i], work) && such(*i);
     let mut best: Option<(Duration, Vec<(usize, u32)>)> = None;
     for zone in zones(slots, (0..slots.len()).filter(fit), work) {
         let here: Vec<usize> =
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -32,6 +32,9 @@
 /// Jobs whose progress one pulse tells: all that a fleet of two thousand machines
 /// works on. Other nodes show those left out as queued.
 pub const MOST_PROGRESS: usize = 2_000;
+/// Jobs whose progress is taken in from one pulse: a later version may tell more, for
+/// fleets of four thousand machines.
+pub const MOST_PROGRESS_READ: usize = 8_192;
 
 /// A worker that comes back this long after it was sent to the leader has not
 /// reached it; after the longer time it says nothing.
@@ -43,7 +46,7 @@
 /// and a sibling that passed it on for 1.5 s; and how many do.
 const HOLD: Duration = Duration::from_millis(2500);
 const HOLD_RELAYED: Duration = Duration::from_secs(1);
-const MOST_HELD: usize = 4_096;
+const MOST_HELD: usize = 16_384;
 
 /// A process whose timers are later than this is behind.
 const BEHIND: Duration = Duration::from_millis(100);
--- a/crates/plankhead/src/peer.rs
+++ b/crates/plankhead/src/peer.rs
@@ -6,7 +6,7 @@
 use crate::wire;
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
-use plankhead_core::node::MOST_PROGRESS;
+use plankhead_core::node::MOST_PROGRESS_READ;
 use plankhead_core::protocol::{Event, Progress, Pulse};
 use rkyv::{Archive, Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -21,7 +21,7 @@
 /// Reports under way to one sibling at most.
 const MOST_RELAYS: usize = 24;
 const MOST_RELAY: usize = http::MOST_REQUEST + 1024;
-const MOST_PULSE: usize = 256 * 1024;
+const MOST_PULSE: usize = 1024 * 1024;
 
 #[derive(Archive, Serialize, Deserialize)]
 struct PulseMessage {
@@ -44,7 +44,7 @@
 
 pub fn decode(bytes: &[u8]) -> Option<Pulse> {
     let message = rkyv::from_bytes::<PulseMessage, rkyv::rancor::Error>(&aligned(bytes)).ok()?;
-    if message.progress.len() > MOST_PROGRESS || message.host.len() > 200 {
+    if message.progress.len() > MOST_PROGRESS_READ || message.host.len() > 200 {
         return None;
     }
     let progress = message.progress.into_iter();
