--- /dev/null
+++ b/crates/plankhead/src/tests/duties.rs
@@ -0,0 +1,57 @@
+//! The listing of open duties, as people read it.
+
+use crate::duties::{table, Leadership, Listing};
+use jiff::tz::TimeZone;
+use jiff::Timestamp;
+use plankhead_fencing::action::{Action, Rental, Return, ReturnCause};
+use plankhead_fencing::duty::{Duty, DutyKey};
+use plankhead_fencing::record::RecordFault;
+
+const AT_MS: i64 = 1_796_202_000_000;
+
+fn duty(key: &str, holder: u64, action: Action) -> Duty {
+    Duty::adopted(DutyKey::new(key), holder, action, AT_MS as u64)
+}
+
+#[test]
+fn the_listing_tells_who_holds_what_and_what_it_waits_for() {
+    let rental = Rental {
+        name: "plank-0-41-3".into(),
+        machine_type: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+        count: 7,
+    };
+    let hosts = ["i-1", "i-2", "i-3", "i-4", "i-5"].map(Into::into).to_vec();
+    let mut listing = Listing {
+        leader: Some(Leadership { host: "plank-1".into(), token: 57 }),
+        duties: vec![
+            duty("plank-0-41-3", 41, Action::Rent(rental)),
+            duty("57.1", 57, Action::Return(Return { hosts, cause: ReturnCause::Reclaim })),
+        ],
+        faults: vec![RecordFault::Format { key: "duty/60/0".into(), format: 2 }],
+    };
+    let zone = TimeZone::get("Europe/Tallinn").unwrap();
+    let now = Timestamp::from_millisecond(AT_MS + 90_000).unwrap();
+    let text = table(&listing, now, &zone);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 5, "{text}");
+    assert_eq!(lines[0], "plank-1 leads under token 57");
+    for part in
+        ["plank-0-41-3", "rent", "7 spot g8 in a", "2026-12-02 11:00:00", "90 s", "has adopted it or will"]
+    {
+        assert!(lines[2].contains(part), "{part} in {}", lines[2]);
+    }
+    for part in ["reclaim", "i-1, i-2, i-3 and 2 more", "the cloud's answer"] {
+        assert!(lines[3].contains(part), "{part} in {}", lines[3]);
+    }
+    assert_eq!(lines[4], "left alone: duty/60/0 has format 2");
+
+    // The same moment elsewhere, and nobody who leads.
+    listing.leader = None;
+    let text = table(&listing, now, &TimeZone::get("America/Chicago").unwrap());
+    assert!(text.starts_with("nobody leads\n") && text.contains("2026-12-02 03:00:00"), "{text}");
+    assert!(text.contains("a leader, who will adopt it"), "{text}");
+    let none = table(&Listing::default(), now, &zone);
+    assert_eq!(none, "nobody leads\nno duty is open\n");
+}
--- a/crates/plankhead/src/tests/mod.rs
+++ b/crates/plankhead/src/tests/mod.rs
@@ -1,6 +1,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod driver;
+mod duties;
 mod messages;
 mod service;
 mod settings;
