--- a/crates/plankhead/src/lib.rs
+++ b/crates/plankhead/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The decisions are made in `plankhead-core`; here are the sockets, files and
 //! timers round it. The library exists for the program, its tests and the load
-//! generator in `examples/load`; it is no stable interface.
+//! stand-ins of `plankhead-standins`; it is no stable interface.
 
 pub mod agent;
 pub mod api;
