--- a/crates/plankhead/src/lib.rs
+++ b/crates/plankhead/src/lib.rs
@@ -1,7 +1,7 @@
 //! plankhead: a controller node of a cluster scheduler.
 //!
 //! The decisions are made in `plankhead-core`; here are the sockets, files and
-//! timers round it. The library exists for the program, its tests and the load
+//! timers round it. The library exists for the program, its tests and the
 //! stand-ins of `plankhead-standins`; it is no stable interface.
 
 pub mod agent;
