--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -80,7 +80,7 @@
             self.release(now, sight, out);
         }
         if sighted && self.surveyed {
-            self.hire(now, out);
+            self.rent_machines(now, out);
         }
         if firm {
             self.give_back(now);
--- a/crates/plankhead-core/src/leader/duties.rs
+++ b/crates/plankhead-core/src/leader/duties.rs
@@ -4,7 +4,7 @@
 
 use super::*;
 use crate::settings::Fencing;
-use plankhead_fencing::action::{Action, Rental, Return, ReturnCause};
+use plankhead_fencing::action::{Action, Return, ReturnCause, MAX_RETURN_HOSTS};
 use plankhead_fencing::duty::{Duty, DutyKey, State};
 use plankhead_fencing::gate::{Gate, Permitted, Proof};
 use plankhead_fencing::log::{DutyLog, Limits, PageChange, WriteOutcome};
@@ -22,9 +22,7 @@
 #[derive(Debug)]
 struct RefusedRental {
     due: Duration,
-    name: String,
-    pool: Pool,
-    count: u32,
+    rental: PendingRental,
 }
 
 /// The duties of one term.
@@ -85,7 +83,7 @@
         if self.fenced() {
             return self.log.returnable(hosts, cause);
         }
-        Return { hosts: hosts.iter().take(renting::MOST_RELEASED).cloned().collect(), cause }
+        Return { hosts: hosts.iter().take(MAX_RETURN_HOSTS).cloned().collect(), cause }
     }
 
     /// What operators see of the duties.
@@ -141,10 +139,7 @@
 
     fn send_action(&self, key: &DutyKey, permitted: Permitted, out: &mut Out) {
         let leader_call = match permitted.action() {
-            Action::Rent(rental) => {
-                let Rental { name, machine_type, zone, spot, count } = rental.clone();
-                LeaderCall::Hire { name, pool: Pool { rig: machine_type, zone, spot }, count }
-            }
+            Action::Rent(rental) => LeaderCall::Rent(rental.clone().into()),
             Action::Return(back) => LeaderCall::Release { hosts: back.hosts.clone(), duty: key.clone() },
         };
         out.cloud(Purpose::Leader(self.token, leader_call), CloudOp::Act(permitted));
@@ -213,16 +208,15 @@
     /// request: only its name's success makes sure that no more machines come of it.
     fn retry_refused_rentals(&mut self, now: Duration, out: &mut Out) {
         let all = std::mem::take(&mut self.duties.refused_rentals);
-        for rental in all {
-            let key = DutyKey::new(&rental.name);
-            if rental.due > now {
-                self.duties.refused_rentals.push(rental);
+        for refused in all {
+            let key = DutyKey::new(&refused.rental.name);
+            if refused.due > now {
+                self.duties.refused_rentals.push(refused);
             } else if now.saturating_sub(self.began) > self.duties.settings.abandon_rental {
                 out.log(Level::Info, format!("rental {key} is given up: the cloud has no room for it"));
                 self.end_duty(&key, State::Abandoned, out);
             } else {
-                self.hiring.push((rental.name.clone(), rental.pool.clone(), rental.count));
-                self.retry_hires.push((now, rental.name, rental.pool, rental.count));
+                self.retry_rental(now, refused.rental);
             }
         }
     }
@@ -367,12 +361,7 @@
             self.duties.log.adopted().map(|duty| (duty.key.clone(), duty.action.clone())).collect();
         for (key, action) in &adopted {
             match action {
-                Action::Rent(rental) => {
-                    let Rental { name, machine_type, zone, spot, count } = rental.clone();
-                    let pool = Pool { rig: machine_type, zone, spot };
-                    self.hiring.push((name.clone(), pool.clone(), count));
-                    self.retry_hires.push((now, name, pool, count));
-                }
+                Action::Rent(rental) => self.retry_rental(now, rental.clone().into()),
                 Action::Return(back) => {
                     self.fleet.returning(&back.hosts);
                     self.releasing.extend(back.hosts.iter().cloned());
@@ -385,6 +374,12 @@
         }
     }
 
+    /// Has a rental asked for again as soon as the cloud's rate allows.
+    fn retry_rental(&mut self, now: Duration, rental: PendingRental) {
+        self.rentals.push(rental.clone());
+        self.rental_retries.push(renting::RentalRetry { due: now, rental });
+    }
+
     /// A duty is over.
     fn end_duty(&mut self, key: &DutyKey, last: State, out: &mut Out) {
         let ended = match last {
@@ -405,21 +400,14 @@
 
     /// The cloud had no machines for a rental. Where another copy of the request may be
     /// under way, it stays open.
-    pub(super) fn rental_refused(
-        &mut self,
-        now: Duration,
-        name: String,
-        pool: Pool,
-        count: u32,
-        out: &mut Out,
-    ) {
-        let key = DutyKey::new(&name);
+    pub(super) fn rental_refused(&mut self, now: Duration, rental: PendingRental, out: &mut Out) {
+        let key = DutyKey::new(&rental.name);
         let Some(duty) = self.duties.log.duty(&key) else { return };
         if duty.holder == self.token && duty.attempts <= 1 {
             return self.confirm_duty(&key, out);
         }
         let due = now + self.duties.settings.refused_rental_retry;
-        self.duties.refused_rentals.push(RefusedRental { due, name, pool, count });
+        self.duties.refused_rentals.push(RefusedRental { due, rental });
     }
 
     /// A return got no answer: it is asked for again, under the same key.
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -6,6 +6,7 @@
 mod placing;
 mod renting;
 mod replies;
+mod rounds;
 mod takeover;
 mod view;
 mod workers;
@@ -31,6 +32,7 @@
 use crate::sizing::Climb;
 use plankhead_fencing::duty::DutyKey;
 use plankhead_fencing::record::PageId;
+pub use renting::PendingRental;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -102,11 +104,7 @@
     Archive(Vec<Final>),
     Target,
     Hosts,
-    Hire {
-        name: String,
-        pool: Pool,
-        count: u32,
-    },
+    Rent(PendingRental),
     Release {
         hosts: Vec<HostName>,
         duty: DutyKey,
@@ -222,15 +220,16 @@
     ends_due: Duration,
     pub target: Target,
     round_due: Duration,
-    round: Option<renting::Round>,
+    round: Option<rounds::Round>,
     /// When the round may go on.
     portion_due: Duration,
     portions: Portions,
     target_dirty: bool,
     target_writing: bool,
-    hires: u64,
-    hiring: Vec<(String, Pool, u32)>,
-    retry_hires: Vec<(Duration, String, Pool, u32)>,
+    rentals_begun: u64,
+    /// Rentals without an answer.
+    rentals: Vec<PendingRental>,
+    rental_retries: Vec<renting::RentalRetry>,
     releasing: BTreeSet<HostName>,
     duties: duties::Duties,
     release_due: Duration,
@@ -305,9 +304,9 @@
             portions: Portions::new(settings.cpu),
             target_dirty: false,
             target_writing: false,
-            hires: 0,
-            hiring: Vec::new(),
-            retry_hires: Vec::new(),
+            rentals_begun: 0,
+            rentals: Vec::new(),
+            rental_retries: Vec::new(),
             releasing: BTreeSet::new(),
             duties: duties::Duties::new(&settings, token, now),
             release_due: now,
--- a/crates/plankhead-core/src/leader/renting.rs
+++ b/crates/plankhead-core/src/leader/renting.rs
@@ -1,336 +1,45 @@
-//! The fleet's size: rounds, raises, renting and giving back.
+//! Renting machines and giving them back.
 
 use super::*;
-use plankhead_fencing::action::{Action, Rental};
-
-/// Without a U of the operators, how far the fleet may grow under overload, as a
-/// multiple of what the guarantees would fill.
-const BORROWED: f64 = 1.5;
-/// Without an interval of the operators, rounds come as often as the slower of
-/// the usual boots allows, in boot times.
-const ROUND_BOOTS: f64 = 1.5;
-const LEAST_ROUND: Duration = Duration::from_secs(20);
-/// Machines in one release, by the protocol.
-pub(super) const MOST_RELEASED: usize = 100;
-/// What a climb replays.
-#[derive(Debug)]
-struct Backlog {
-    now: Duration,
-    held: Vec<Slot>,
-    /// A machine of the type in each zone, as if it were up.
-    fresh: Vec<Slot>,
-    work: Vec<Work>,
-    expected: Vec<Arrival>,
-    teams: Vec<TeamRoom>,
-    running: usize,
+use plankhead_fencing::action::{Action, Rental, MAX_RENTAL_COUNT, MAX_RETURN_HOSTS};
+
+/// A rental that is not answered yet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PendingRental {
+    /// The cloud carries each name out once at most.
+    pub name: String,
+    pub pool: Pool,
+    pub count: u32,
 }
 
-impl Backlog {
-    fn replay(&self, machines: u32) -> Replay {
-        let machines = machines as usize;
-        let mut slots: Vec<Slot> = self.held.iter().take(machines).cloned().collect();
-        let more = self.fresh.iter().cycle().take(machines.saturating_sub(slots.len()));
-        slots.extend(more.cloned());
-        let (work, expected, teams) = (self.work.clone(), self.expected.clone(), self.teams.clone());
-        Replay::new(self.now, slots, work, expected, teams, self.running)
+impl From<PendingRental> for Rental {
+    fn from(rental: PendingRental) -> Self {
+        let Pool { rig: machine_type, zone, spot } = rental.pool;
+        Self { name: rental.name, machine_type, zone, spot, count: rental.count }
     }
 }
 
-#[derive(Debug)]
-struct Trial {
-    rig: String,
-    strict: bool,
-    climb: Climb,
-    backlog: Backlog,
-}
-
-/// A round under way: the climbs one after the other, in portions, since the
-/// replays of a large backlog would hold up everything else.
-#[derive(Debug)]
-pub(super) struct Round {
-    began: Duration,
-    cold: bool,
-    trials: Vec<Trial>,
-    replay: Option<Replay>,
-    /// Trials and their slowdowns, for the log.
-    trace: Vec<String>,
-}
-
-impl Round {
-    /// Goes on by a portion; true once all climbs are over.
-    fn advance(&mut self, portions: Portions) -> bool {
-        let Some(trial) = self.trials.iter_mut().find(|t| t.climb.size().is_none()) else { return true };
-        let replay = self.replay.get_or_insert_with(|| trial.backlog.replay(trial.climb.trial()));
-        if let Some(slowdown) = replay.advance(portions.replayed_passes(replay.machines())) {
-            self.trace.push(format!("{}:{slowdown:.2}", trial.climb.trial()));
-            trial.climb.measured(slowdown);
-            self.replay = None;
-        }
-        false
-    }
-
-    /// Machines of the trial under way.
-    fn machines(&self) -> usize {
-        self.replay.as_ref().map_or(0, Replay::machines)
+impl From<Rental> for PendingRental {
+    fn from(rental: Rental) -> Self {
+        let Rental { name, machine_type, zone, spot, count } = rental;
+        Self { name, pool: Pool { rig: machine_type, zone, spot }, count }
     }
-
-    fn sizes(&self) -> BTreeMap<String, Size> {
-        let mut sizes: BTreeMap<String, Size> = BTreeMap::new();
-        for trial in &self.trials {
-            let size = sizes.entry(trial.rig.clone()).or_default();
-            let found = trial.climb.size().unwrap_or(0);
-            if trial.strict {
-                size.ordinary = found;
-            }
-            size.machines = size.machines.max(found);
-        }
-        sizes
-    }
-}
-
-/// How many such tasks an empty machine holds.
-fn most_on(work: &Work, room: &Resources) -> u32 {
-    let of = |have: f64, need: f64| if need > 0.0 { (have / need + 1e-6).floor() } else { f64::MAX };
-    let Resources { cpus, gpus, ram } = work.each;
-    of(room.cpus, cpus).min(of(room.gpus, gpus)).min(of(room.ram, ram)).min(1e6) as u32
 }
 
-/// Machines that a job takes at least at a time: a gang all of it, and so many in
-/// each zone if it must be in one.
-fn width(work: &Work, room: &Resources, zones: usize) -> u32 {
-    let machines = work.together().div_ceil(most_on(work, room).max(1));
-    if work.gang && work.one_zone && machines > 1 {
-        machines.saturating_mul(zones as u32)
-    } else {
-        machines
-    }
+/// A rental to be asked for again.
+#[derive(Debug)]
+pub(super) struct RentalRetry {
+    pub due: Duration,
+    pub rental: PendingRental,
 }
 
 impl Leader {
-    /// U for a type: set, or learned, or what the guarantees would fill; and how
-    /// far it goes under overload.
-    fn capacity(&self, rig: &str, now: Duration) -> (u32, u32) {
-        let cpus = self.fleet.resources(rig).map_or(1.0, |r| r.cpus.max(1.0));
-        let guaranteed: f64 = self.settings.teams.values().map(|t| t.cpus).sum();
-        let fill = |share: f64| (guaranteed * share / cpus).ceil().clamp(1.0, 10_000.0) as u32;
-        let set = self.settings.sizing.capacity;
-        let known = self.fleet.learned(rig, now).unwrap_or(u32::MAX);
-        let bound = |share: f64| set.unwrap_or(fill(share)).min(known).max(1);
-        (bound(1.0), bound(BORROWED))
-    }
-
-    /// The time between rounds: longer than a boot, so that each sees what the one
-    /// before brought.
-    pub(super) fn interval(&self) -> Duration {
-        let boot = self.fleet.rigs.values().map(|r| r.boot).max().unwrap_or_default();
-        self.settings.sizing.interval.unwrap_or(LEAST_ROUND.max(boot.mul_f64(ROUND_BOOTS)))
-    }
-
-    /// Begins rounds, carries the one under way on by a portion, and ends it.
-    pub(super) fn size(&mut self, times: Times, out: &mut Out) {
-        let now = times.now;
-        if self.fleet.rigs.is_empty() {
-            return;
-        }
-        if self.round.is_none() {
-            self.begin_round(times);
-        }
-        let Some(round) = self.round.as_mut().filter(|_| now >= self.portion_due) else { return };
-        let over = round.advance(self.portions);
-        self.portion_due = now + self.portions.replay_pause(round.machines(), self.behind);
-        if !over {
-            return;
-        }
-        let Some(round) = self.round.take() else { return };
-        let mut target = Target { round: self.target.round + 1, at_ms: times.wall_ms(), rigs: round.sizes() };
-        if round.cold {
-            for (rig, before) in &self.target.rigs {
-                let size = target.rigs.entry(rig.clone()).or_default();
-                size.machines = size.machines.max(before.machines);
-                size.ordinary = size.ordinary.max(before.ordinary);
-            }
-        }
-        let level = if target.rigs == self.target.rigs { Level::Debug } else { Level::Info };
-        let took = now.saturating_sub(round.began).as_millis();
-        let trials = round.trace.join(" ");
-        out.log(level, format!("round {}: {:?} in {took} ms, {trials}", target.round, target.rigs));
-        self.target = target;
-        self.target_dirty = true;
-    }
-
-    fn begin_round(&mut self, times: Times) {
-        let now = times.now;
-        // Before any machine is up, whichever job came first would size the fleet
-        // for a whole interval: rounds follow quickly and only raise.
-        let none_up = self.fleet.machines.values().all(|m| m.newest.is_none() && !m.was_up);
-        if now < self.round_due && !(none_up && now + COLD_ROUND < self.round_due) {
-            return;
-        }
-        let teams = self.teams();
-        let (_, work) = self.work(now, &teams);
-        let cold = none_up && !work.is_empty();
-        if cold {
-            self.round_due = self.round_due.min(now + COLD_ROUND);
-        }
-        // The first round waits for something to replay.
-        if now < self.round_due || (self.target.round == 0 && work.is_empty()) {
-            return;
-        }
-        self.round_due = now + self.interval();
-        // Nor does the rush of the first seconds tell what comes later.
-        let expected = if cold { Vec::new() } else { self.expected(now) };
-        let slots: Vec<Slot> = self.slots(now).into_iter().map(|(_, slot)| slot).collect();
-        let running = |e: &&Entry| e.phase == Phase::Live && e.placed > 0 && e.pending() == 0;
-        let running = self.ledger.jobs.values().filter(running).count();
-        let mut trials = Vec::new();
-        for rig in self.fleet.rigs.keys().cloned().collect::<Vec<_>>() {
-            for strict in [true, false] {
-                let input = (&*work, &*expected, &*slots);
-                trials.extend(self.trial(now, &rig, strict, input, &teams, running));
-            }
-        }
-        self.round = Some(Round { began: now, cold, trials, replay: None, trace: Vec::new() });
-    }
-
-    /// The climb for one type, over the jobs that can use it; `strict`: only
-    /// those that must not run on spot machines, and only ordinary ones.
-    fn trial(
-        &mut self,
-        now: Duration,
-        rig: &str,
-        strict: bool,
-        (work, expected, slots): (&[Work], &[Arrival], &[Slot]),
-        teams: &[TeamRoom],
-        running: usize,
-    ) -> Option<Trial> {
-        let kind = self.fleet.rigs.get(rig)?.clone();
-        let pool = |zone: &String, spot| Pool { rig: rig.into(), zone: zone.clone(), spot };
-        let ordinary: Vec<(usize, usize)> =
-            kind.zones.iter().map(|z| (self.places.pool(&pool(z, false)), self.places.zone(z))).collect();
-        let spot: Vec<usize> = kind.zones.iter().map(|z| self.places.pool(&pool(z, true))).collect();
-        let suits = |w: &Work| {
-            let bound = !spot.iter().any(|p| w.allows(*p));
-            ordinary.iter().any(|(p, _)| w.allows(*p)) && (!strict || bound)
-        };
-        let work: Vec<Work> = work.iter().filter(|w| suits(w)).cloned().collect();
-        let expected: Vec<Arrival> = expected.iter().filter(|a| suits(&a.work)).cloned().collect();
-        let ours =
-            |s: &&Slot| ordinary.iter().any(|(p, _)| *p == s.pool) || !strict && spot.contains(&s.pool);
-        let mut held: Vec<Slot> = slots.iter().filter(ours).cloned().collect();
-        held.sort_by_key(|s| std::cmp::Reverse(s.running.len()));
-        for slot in &mut held {
-            slot.ready = now;
-        }
-        let busy = if strict { 0 } else { held.iter().filter(|s| !s.running.is_empty()).count() as u32 };
-        let total = Resources { cpus: kind.cpus, gpus: kind.gpus, ram: kind.ram };
-        let widest = work.iter().map(|w| width(w, &total, kind.zones.len())).max();
-        let least = busy.max(widest.unwrap_or(0));
-        let (most, beyond) = self.capacity(rig, now);
-        let climb = Climb::new(least, most, beyond, self.settings.sizing.threshold);
-        let fresh = ordinary
-            .into_iter()
-            .map(|(pool, zone)| Slot {
-                pool,
-                zone,
-                price: kind.price,
-                free: total,
-                ready: now,
-                running: Vec::new(),
-                images: Vec::new(),
-                fetching: 0,
-                pull_gb_per_s: 0.0,
-            })
-            .collect();
-        let running = if strict { 0 } else { running };
-        let teams = teams.to_vec();
-        let backlog = Backlog { now, held, fresh, work, expected, teams, running };
-        Some(Trial { rig: rig.into(), strict, climb, backlog })
-    }
-
-    /// A job wider than the fleet raises it at once. An array's width is one
-    /// task, so this is a job that no machine we have can hold; a gang's is all of
-    /// it, in one zone where asked.
-    pub(super) fn raise(&mut self, work: &[Work]) {
-        let staying = |m: &&Machine| m.leaving.is_none() && !m.notice;
-        let mut held: BTreeMap<Pool, u32> = BTreeMap::new();
-        for machine in self.fleet.machines.values().filter(staying) {
-            *held.entry(machine.pool.clone()).or_default() += 1;
-        }
-        // Pool, zone, machines, and what one of them holds.
-        let mut pools = Vec::new();
-        for (pool, machines) in &held {
-            let room = self.fleet.resources(&pool.rig).unwrap_or_default();
-            pools.push((self.places.pool(pool), pool.zone.clone(), *machines, room));
-        }
-        self.wanted_zone = None;
-        for w in work {
-            let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
-            for (_, zone, machines, room) in pools.iter().filter(|(p, ..)| w.allows(*p)) {
-                let zone = if w.gang && w.one_zone { zone.as_str() } else { "" };
-                let held = zones.entry(zone).or_default();
-                *held = held.saturating_add(machines.saturating_mul(most_on(w, room)));
-            }
-            let widest = zones.into_iter().map(|(zone, n)| (n, zone)).max();
-            let (room, zone) = widest.unwrap_or_default();
-            if room >= w.together() {
-                continue;
-            }
-            let lacking = w.together() - room;
-            if !zone.is_empty() {
-                self.wanted_zone = Some(zone.into());
-            }
-            let mut fits = Vec::new();
-            for (name, rig) in &self.fleet.rigs {
-                let room = Resources { cpus: rig.cpus, gpus: rig.gpus, ram: rig.ram };
-                let pool = |zone: &String, spot| Pool { rig: name.clone(), zone: zone.clone(), spot };
-                let ordinary = rig.zones.iter().any(|z| w.allows(self.places.pool(&pool(z, false))));
-                let spot = rig.zones.iter().any(|z| w.allows(self.places.pool(&pool(z, true))));
-                if ordinary && w.each.fits(&room) {
-                    fits.push((rig.price, name.clone(), !spot));
-                }
-            }
-            fits.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let Some((_, rig, strict)) = fits.into_iter().next() else { continue };
-            let count = self.fleet.count(&rig);
-            let more = lacking.div_ceil(most_on(w, &self.fleet.resources(&rig).unwrap_or_default()).max(1));
-            let ordinary: u32 =
-                self.fleet.pools(&rig).iter().filter(|p| !p.spot).map(|p| self.fleet.staying(p)).sum();
-            let size = self.target.rigs.entry(rig).or_default();
-            if size.machines <= count && self.hiring.is_empty() {
-                size.machines = count + more;
-                self.target_dirty = true;
-            }
-            if strict && size.ordinary < ordinary + more && self.hiring.is_empty() {
-                size.ordinary = ordinary + more;
-                self.target_dirty = true;
-            }
-        }
-    }
-
-    pub(super) fn hire(&mut self, now: Duration, out: &mut Out) {
-        let due: Vec<_> = {
-            let (ready, later) =
-                std::mem::take(&mut self.retry_hires).into_iter().partition(|(at, ..)| *at <= now);
-            self.retry_hires = later;
-            ready
-        };
-        for (at, name, pool, count) in due {
-            if self.cloud.take(now, 1) {
-                self.rent(name, pool, count, out);
-            } else {
-                self.retry_hires.push((at, name, pool, count));
-            }
-        }
+    pub(super) fn rent_machines(&mut self, now: Duration, out: &mut Out) {
+        self.retry_rentals(now, out);
         for (rig, size) in self.target.rigs.clone() {
             let coming = |spot: Option<bool>| -> u32 {
-                let of = |(_, p, n): &(String, Pool, u32)| {
-                    if p.rig == rig && spot.is_none_or(|s| s == p.spot) {
-                        *n
-                    } else {
-                        0
-                    }
-                };
-                self.hiring.iter().map(of).sum()
+                let such = |r: &&PendingRental| r.pool.rig == rig && spot.is_none_or(|s| s == r.pool.spot);
+                self.rentals.iter().filter(such).map(|r| r.count).sum()
             };
             let ordinary =
                 self.fleet.pools(&rig).iter().filter(|p| !p.spot).map(|p| self.fleet.staying(p)).sum::<u32>();
@@ -340,7 +49,7 @@
                 continue;
             }
             let mut pools: Vec<Pool> = self.fleet.pools(&rig);
-            pools.retain(|p| self.fleet.open(p, now) && !self.hiring.iter().any(|(_, q, _)| q == p));
+            pools.retain(|p| self.fleet.open(p, now) && !self.rentals.iter().any(|r| r.pool == *p));
             if strict > 0 {
                 pools.retain(|p| !p.spot);
             }
@@ -353,25 +62,39 @@
             let mut left = if strict > 0 { strict } else { want };
             let share = left.div_ceil(pools.len().max(1) as u32);
             for pool in pools {
-                let count = share.min(left).min(50);
+                let count = share.min(left).min(MAX_RENTAL_COUNT);
                 if count == 0 || !self.cloud.take(now, 1) {
                     break;
                 }
                 left -= count;
-                self.hires += 1;
-                let name = format!("{}-{}-{}", self.settings.host, self.token, self.hires);
-                self.hiring.push((name.clone(), pool.clone(), count));
-                self.rent(name, pool, count, out);
+                self.rentals_begun += 1;
+                let name = format!("{}-{}-{}", self.settings.host, self.token, self.rentals_begun);
+                let rental = PendingRental { name, pool, count };
+                self.rentals.push(rental.clone());
+                self.rent(rental, out);
+            }
+        }
+    }
+
+    /// Asks again for rentals whose answers were lost, under their names.
+    fn retry_rentals(&mut self, now: Duration, out: &mut Out) {
+        let all = std::mem::take(&mut self.rental_retries);
+        let (due, later): (Vec<_>, Vec<_>) = all.into_iter().partition(|retry| retry.due <= now);
+        self.rental_retries = later;
+        for retry in due {
+            if self.cloud.take(now, 1) {
+                self.rent(retry.rental, out);
+            } else {
+                self.rental_retries.push(retry);
             }
         }
     }
 
-    fn rent(&mut self, name: String, pool: Pool, count: u32, out: &mut Out) {
-        let key = DutyKey::new(&name);
-        let Pool { rig: machine_type, zone, spot } = pool;
-        let rental = Rental { name: name.clone(), machine_type, zone, spot, count };
-        if !self.request(key, Action::Rent(rental), out) {
-            self.hiring.retain(|(hiring, ..)| *hiring != name);
+    fn rent(&mut self, rental: PendingRental, out: &mut Out) {
+        let key = DutyKey::new(&rental.name);
+        let name = rental.name.clone();
+        if !self.request(key, Action::Rent(rental.into()), out) {
+            self.rentals.retain(|other| other.name != name);
         }
     }
 
@@ -434,7 +157,7 @@
         let machines = self.fleet.machines.values();
         let leaving = machines.filter_map(|m| m.leaving.filter(|w| may(*w)).map(|why| (m.name.clone(), why)));
         let mut leaving: Vec<(HostName, Leaving)> =
-            leaving.filter(|(host, _)| !self.releasing.contains(host)).take(MOST_RELEASED).collect();
+            leaving.filter(|(host, _)| !self.releasing.contains(host)).take(MAX_RETURN_HOSTS).collect();
         // What a cancellation forces goes alone, so that it can go without its record where
         // that can't be written.
         let due = leaving.iter().any(|(_, why)| *why == Leaving::CancelDue);
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -187,20 +187,21 @@
                 self.listing = false;
                 self.list.clear();
             }
-            (LeaderCall::Hire { name, pool, count }, Ok(CloudReply::Hired(hosts))) => {
-                self.hiring.retain(|(n, ..)| *n != name);
+            (LeaderCall::Rent(PendingRental { name, pool, count }), Ok(CloudReply::Hired(hosts))) => {
+                self.rentals.retain(|rental| rental.name != name);
                 self.fleet.hired(&hosts, &pool, count, now);
                 self.confirm_duty(&DutyKey::new(&name), out);
             }
-            (LeaderCall::Hire { name, pool, count }, Ok(CloudReply::NoCapacity)) => {
-                self.hiring.retain(|(n, ..)| *n != name);
-                self.fleet.refused(&pool, now);
+            (LeaderCall::Rent(rental), Ok(CloudReply::NoCapacity)) => {
+                self.rentals.retain(|other| other.name != rental.name);
+                let pool = &rental.pool;
+                self.fleet.refused(pool, now);
                 out.log(Level::Debug, format!("no capacity in {} (spot: {})", pool.zone, pool.spot));
-                self.rental_refused(now, name, pool, count, out);
+                self.rental_refused(now, rental, out);
             }
             // In doubt, the same name is used again: it rents once at most.
-            (LeaderCall::Hire { name, pool, count }, _) => {
-                self.retry_hires.push((now + PAUSE * 4, name, pool, count));
+            (LeaderCall::Rent(rental), _) => {
+                self.rental_retries.push(renting::RentalRetry { due: now + PAUSE * 4, rental });
             }
             (LeaderCall::Release { hosts, duty }, Ok(CloudReply::Released)) => {
                 self.confirm_duty(&duty, out);
