--- a/crates/plankhead-core/src/election.rs
+++ b/crates/plankhead-core/src/election.rs
@@ -3,6 +3,7 @@
 
 use crate::node::{Out, Purpose};
 use crate::protocol::{CallError, Change, Condition, KeyEvent, Level, Row, StateOp, StateReply};
+use plankhead_reachability::handover::HOLD_BACK;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -77,6 +78,10 @@
     doubt: Option<u64>,
     /// How long the key outlives its leader.
     lease: Duration,
+    /// Others are better placed to lead.
+    holds_back: bool,
+    /// Since when the key is vacant.
+    vacant_since: Duration,
 }
 
 impl Election {
@@ -94,9 +99,28 @@
             touching: false,
             shaken: false,
             doubt: None,
+            holds_back: false,
+            vacant_since: Duration::ZERO,
         }
     }
 
+    /// Whether others are better placed: a vacant key is left to them for a moment, and no
+    /// longer, since they may be gone.
+    pub fn hold_back(&mut self, holds_back: bool) {
+        self.holds_back = holds_back;
+    }
+
+    fn vacant(&mut self, now: Duration) {
+        self.stage = Stage::Vacant;
+        self.vacant_since = now;
+    }
+
+    /// Until when a vacant key is left to others.
+    fn held_until(&self) -> Option<Duration> {
+        let held = self.holds_back && self.stage == Stage::Vacant;
+        held.then_some(self.vacant_since + HOLD_BACK)
+    }
+
     pub fn token(&self) -> Option<u64> {
         match self.stage {
             Stage::Leading { token, .. } => Some(token),
@@ -119,7 +143,7 @@
     pub fn next_due(&self) -> Option<Duration> {
         match self.stage {
             Stage::Leading { .. } => (!self.touching).then_some(self.next_touch),
-            _ => (!self.pending).then_some(self.not_before),
+            _ => (!self.pending).then(|| self.not_before.max(self.held_until().unwrap_or_default())),
         }
     }
 
@@ -131,7 +155,7 @@
             }
             return;
         }
-        if self.pending || now < self.not_before {
+        if self.pending || now < self.not_before || self.held_until().is_some_and(|until| now < until) {
             return;
         }
         self.pending = true;
@@ -169,7 +193,7 @@
                             verdict = self.read(now, Some(row), out);
                         }
                         KeyEvent::Dropped { key, .. } if key == KEY => {
-                            self.stage = Stage::Vacant;
+                            self.vacant(now);
                         }
                         _ => {}
                     }
@@ -217,7 +241,7 @@
 
     fn read(&mut self, now: Duration, row: Option<Row>, out: &mut Out) -> Verdict {
         let Some(row) = row else {
-            self.stage = Stage::Vacant;
+            self.vacant(now);
             return Verdict::None;
         };
         let Ok(holder) = serde_json::from_str::<Holder>(&row.value) else {
--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -27,6 +27,8 @@
 const MOST_UNANSWERED: u32 = 2;
 /// One machine in so many is few.
 const FEW: usize = 50;
+/// What a peer tells of a machine is believed for so long.
+const ELSEWHERE: Duration = Duration::from_secs(6);
 /// Errors in a row after which a machine is retired.
 const MOST_ERRORS: u32 = 3;
 
@@ -98,6 +100,8 @@
     pub news: Duration,
     /// When it last reached this node itself.
     pub direct: Duration,
+    /// When a peer last told that it hears this machine, whose reports are late here.
+    pub heard_elsewhere: Option<Duration>,
     /// Its last report came through a sibling.
     pub relayed: bool,
     pub notice: bool,
@@ -203,6 +207,7 @@
             news: now,
             direct: now,
             relayed: false,
+            heard_elsewhere: None,
             notice: false,
             listed: false,
             was_up: false,
@@ -448,13 +453,16 @@
             let cut = silent_here > 2 && silent_here * 2 > all;
             let silent = if cut { short.max(lease + boot / 2) } else { short };
             let quiet = now.saturating_sub(machine.heard);
+            // Our link's silence and not its own, for as long as its lease may last.
+            let elsewhere = machine.heard_elsewhere.is_some_and(|at| now.saturating_sub(at) < ELSEWHERE);
+            let spared = elsewhere && quiet < silent + lease;
             let mute = !cut && few && mute(machine);
             // A machine that was taken before a new leader came never reports to
             // it: only silence tells, not the patience for a boot.
             let reason = if machine.newest.is_none() && !machine.was_up {
                 let patience = boot.mul_f64(BOOT_PATIENCE);
                 (now.saturating_sub(machine.since) > patience && quiet > silent).then_some(Leaving::NeverUp)
-            } else if quiet > silent || mute {
+            } else if (quiet > silent || mute) && !spared {
                 Some(Leaving::Silent)
             } else if machine.unlisted >= 2 && quiet > missed.max(silent / 2) {
                 Some(Leaving::Unlisted)
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -12,6 +12,8 @@
         let (now, firm) = (times.now, sight.firm);
         self.duties.wall_ms = times.wall_ms();
         self.behind = sight.behind;
+        self.mode = sight.mode;
+        self.peers_agree = sight.peers_agree;
         if !sight.steady {
             self.shaken = Some(now);
         }
@@ -43,20 +45,21 @@
             let op = StateOp::Follow { prefix: "job/".into(), after: epoch, wait: WATCH };
             self.state(LeaderCall::Follow { sent: now }, op, out);
         }
-        let sighted = firm && now.saturating_sub(self.fresh) < STALE;
+        let places = firm && self.permits(Action::Place, now);
+        let rents = firm && self.surveyed && self.permits(Action::Rent, now);
         // What could not be written yet could not start either: the next pass
         // waits for it and so puts more into one write, but not for long.
         let backlog = self.ledger.placing.len();
         let written = backlog == 0 || backlog <= self.writes.available(now);
         let due = if written { self.pass_due } else { self.pass_due + PASS_PATIENCE };
-        if sighted && self.dirty && now >= due {
+        if places && self.dirty && now >= due {
             self.dirty = false;
             self.pass_due = now + self.portions.pass_pause();
             self.schedule(now, out);
         }
         // A new leader that had not seen the machines yet took the fleet for none: it
         // hired all anew, and its round gave back what then turned up.
-        if sighted && self.surveyed {
+        if rents {
             self.size(times, out);
         }
         // At the first step of a leader that has read all, too: nothing larger than
@@ -79,11 +82,13 @@
         if self.fleet.machines.values().any(|m| m.leaving == Some(Leaving::CancelDue)) {
             self.release(now, sight, out);
         }
-        if sighted && self.surveyed {
+        if rents {
             self.rent_machines(now, out);
         }
-        if firm {
+        if firm && self.permits(Action::Return, now) {
             self.give_back(now);
+        }
+        if firm {
             self.sweep(now, out);
         }
         self.release(now, sight, out);
@@ -180,7 +185,9 @@
 
     fn mind_machines(&mut self, now: Duration, sight: Sight, out: &mut Out) {
         let contact = self.in_contact(now);
-        if sight.firm && contact {
+        // Where no node hears any worker, the silence is theirs.
+        let silence_tells = contact || self.mode == Mode::StateOnly;
+        if sight.firm && silence_tells && self.permits(Action::JudgeSilent, now) {
             if !std::mem::replace(&mut self.sound, true) {
                 self.fleet.forgive(now);
             }
@@ -217,7 +224,8 @@
             })
             .map(|(_, a)| a.host.clone())
             .collect();
-        for host in overdue {
+        let reclaims = self.permits(Action::ReclaimOverdue, now);
+        for host in overdue.into_iter().filter(|_| reclaims) {
             self.fleet.expect(&host, now);
             if let Some(machine) = self.fleet.machines.get_mut(&host) {
                 machine.leaving.get_or_insert(Leaving::CancelDue);
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -3,6 +3,7 @@
 
 mod clock;
 mod duties;
+mod permissions;
 mod placing;
 mod renting;
 mod replies;
@@ -32,6 +33,8 @@
 use crate::sizing::Climb;
 use plankhead_fencing::duty::DutyKey;
 use plankhead_fencing::record::PageId;
+use plankhead_reachability::mode::Mode;
+use plankhead_reachability::permission::{Action, Bound, Permission};
 pub use renting::PendingRental;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -166,6 +169,10 @@
     pub among_all: bool,
     /// The process has no processor time left.
     pub behind: bool,
+    /// Which sides this node sees.
+    pub mode: Mode,
+    /// Every other node hears no worker either.
+    pub peers_agree: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -255,6 +262,9 @@
     shaken: Option<Duration>,
     /// The process is behind: starts go with the answers to reports only.
     behind: bool,
+    /// Which sides this node sees, and whether the others hear no worker either.
+    mode: Mode,
+    peers_agree: bool,
     /// When the cloud last answered.
     cloud_heard: Option<Duration>,
     /// The jobs of the last interval: when each came, and what it was.
@@ -324,6 +334,8 @@
             sound: true,
             shaken: None,
             behind: false,
+            mode: Mode::Whole,
+            peers_agree: false,
             cloud_heard: None,
             arrivals: VecDeque::new(),
             opened: None,
--- /dev/null
+++ b/crates/plankhead-core/src/leader/permissions.rs
@@ -0,0 +1,80 @@
+//! What the leader may do with what this node reaches: the one table, and the evidence
+//! that its bounds name.
+
+use super::*;
+use crate::reach::LeaderFacts;
+
+impl Leader {
+    /// Whether the table allows an action at present.
+    pub(super) fn permits(&self, action: Action, now: Duration) -> bool {
+        match self.settings.reachability.table.of(self.mode, action) {
+            Permission::Allowed => true,
+            Permission::Within(bound) => self.is_within(bound, now),
+            Permission::Deferred(_) | Permission::Forbidden(_) => false,
+        }
+    }
+
+    fn is_within(&self, bound: Bound, now: Duration) -> bool {
+        let blind = now.saturating_sub(self.fresh);
+        match bound {
+            Bound::JobsSeen => blind < STALE,
+            // Leases must run out before a cancellation that was not seen is due.
+            Bound::CancellationUnseen => {
+                let settings = &self.settings;
+                blind < settings.cancel.saturating_sub(settings.lease + BLIND_MARGIN)
+            }
+            Bound::PeersAgree => self.peers_agree,
+        }
+    }
+
+    /// What the node's reachability needs to know of this leader. `steady`: its grant is
+    /// good, and nothing says that the state service fails it.
+    pub fn facts(&self, now: Duration, steady: bool) -> LeaderFacts {
+        let lately = self.settings.gap() + Duration::from_secs(1);
+        let recent = |at: Duration| now.saturating_sub(at) < lately;
+        let up = || self.fleet.machines.values().filter(|machine| machine.up());
+        let direct = up().filter(|machine| !machine.relayed && recent(machine.direct));
+        let reached = up().filter(|machine| machine.answered.is_some() && recent(machine.heard));
+        LeaderFacts {
+            token: self.token,
+            since: self.began,
+            steady: steady && self.stage == Stage::Ready,
+            up: up().count(),
+            direct: direct.map(|machine| machine.name.clone()).collect(),
+            reached: reached.map(|machine| machine.name.clone()).collect(),
+        }
+    }
+
+    /// Whether a report shows the answer to the one before; `None` if there was none.
+    pub fn answer_shown(&self, report: &Report) -> Option<bool> {
+        let machine = self.fleet.machines.get(&report.host)?;
+        machine.answered?;
+        let later = machine.newest.is_some_and(|newest| (report.shift, report.tick) > newest);
+        later.then_some(report.token == self.token)
+    }
+
+    /// Machines that should report to this leader.
+    pub fn machines_up(&self) -> usize {
+        if self.stage == Stage::Ready {
+            self.fleet.machines.values().filter(|machine| machine.up()).count()
+        } else {
+            0
+        }
+    }
+
+    /// The names of all machines, to be numbered.
+    pub fn machine_names(&self) -> BTreeSet<HostName> {
+        self.fleet.machines.keys().cloned().collect()
+    }
+
+    /// Notes which machines with late reports are heard by some peer: their silence is
+    /// our link's.
+    pub fn note_heard_elsewhere(&mut self, now: Duration, heard_by_a_peer: impl Fn(&str) -> bool) {
+        let gap = self.settings.gap();
+        for machine in self.fleet.machines.values_mut() {
+            if now.saturating_sub(machine.heard) > gap && heard_by_a_peer(&machine.name) {
+                machine.heard_elsewhere = Some(now);
+            }
+        }
+    }
+}
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -11,15 +11,13 @@
     /// takeovers in a row, each of which kept the leases for some seconds of its own,
     /// would keep a cancelled task for longer than `cancel_s`.
     pub(super) fn may_answer(&self, now: Duration) -> bool {
-        let s = &self.settings;
-        let bound = s.cancel.saturating_sub(s.lease + BLIND_MARGIN);
-        self.stage == Stage::Ready && now.saturating_sub(self.fresh) < bound
+        self.stage == Stage::Ready && self.permits(Action::KeepLeases, now)
     }
 
     /// Whether starts may be sent: no cancellation is likely to have been confirmed
     /// unseen. Where the state service has just failed this node, another may have.
     pub(super) fn sighted(&self, now: Duration) -> bool {
-        now.saturating_sub(self.fresh) < STALE && self.shaken.is_none_or(|at| at < self.fresh)
+        self.permits(Action::Start, now) && self.shaken.is_none_or(|at| at < self.fresh)
     }
 
     /// Answers a report. `adrift`: neither the state service nor any sibling is
@@ -34,6 +32,9 @@
     ) -> Answer {
         let now = times.now;
         self.reached |= !relayed;
+        if !self.permits(Action::AnswerReports, now) {
+            return Answer::Unavailable { retry: Duration::from_secs(1) };
+        }
         if !self.may_answer(now) || self.fleet.is_gone(&report.host) {
             // What it tells counts all the same, and that it is there.
             self.hear(times, &report, false, out);
@@ -190,6 +191,7 @@
         let Some(machine) = self.fleet.machines.get(host) else { return Vec::new() };
         let Some(report) = &machine.report else { return Vec::new() };
         let mut orders = Vec::new();
+        let (reaps, kills) = (self.permits(Action::AcknowledgeEnds, now), self.permits(Action::Kill, now));
         for Listed { task, attempt, seen } in report.tasks.iter() {
             let attempt = *attempt;
             if matches!(seen, Seen::Ended(_)) {
@@ -197,10 +199,10 @@
                 let unconfirmed_runs =
                     machine.unconfirmed_runs.iter().any(|(t, n, _)| t == task && *n == attempt);
                 let over = !self.ledger.jobs.contains_key(&task.job) && requests.is_over(&task.job);
-                if !unconfirmed_runs && (over || self.ledger.may_reap(task, attempt)) {
+                if reaps && !unconfirmed_runs && (over || self.ledger.may_reap(task, attempt)) {
                     orders.push(Order::Reap { task: task.clone(), attempt });
                 }
-            } else if let Some(leeway) = self.unwanted(host, task, attempt, requests) {
+            } else if let Some(leeway) = self.unwanted(host, task, attempt, requests).filter(|_| kills) {
                 orders.push(Order::Kill { task: task.clone(), attempt, leeway });
             }
         }
@@ -305,9 +307,11 @@
             true => Vec::new(),
             false => self.runs(now, machine).filter(|(t, _)| !told(t)).collect(),
         };
+        let may_kill = self.permits(Action::Kill, now);
         let kills: Vec<(TaskId, u64)> = self
             .ledger
             .on_host(host)
+            .filter(|_| may_kill)
             .filter_map(|t| {
                 let a = self.ledger.attempt(t)?;
                 let cancelled = self.ledger.jobs.get(&t.job)?.phase == Phase::Cancelled;
--- a/crates/plankhead-core/src/lib.rs
+++ b/crates/plankhead-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod portions;
 pub mod protocol;
 pub mod queue;
+pub mod reach;
 pub mod replay;
 pub mod requests;
 pub mod settings;
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node.rs
@@ -9,10 +9,13 @@
     Answer, Ask, Call, CallError, CloudOp, CloudReply, Effect, Event, HostName, Level, Order, Progress,
     Pulse, Report, Rig, StateOp, StateReply,
 };
+use crate::reach::{LeaderFacts, Reach, ReachCall};
 use crate::requests::{PendingRequest, RequestHandler};
 use crate::settings::Settings;
 use crate::version_barrier::{self, VersionBarrier};
 use plankhead_fencing::token::TokenGuard;
+use plankhead_reachability::coverage::{Coverage, CoverageFault, KnownHolder};
+use plankhead_reachability::mode::Mode;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -51,6 +54,9 @@
 /// A process whose timers are later than this is behind.
 const BEHIND: Duration = Duration::from_millis(100);
 
+/// How often the node's reach is looked at while it leads.
+const REACH_LOOK: Duration = Duration::from_millis(500);
+
 /// How soon what waits for a budget, or for the state service, is looked at again.
 const RETRY_WAKE: Duration = Duration::from_millis(50);
 /// A step that nothing asked for comes at least this long after the one before.
@@ -64,6 +70,7 @@
     RequestHandler(PendingRequest),
     /// Under a token, so that replies to an earlier term are ignored.
     Leader(u64, LeaderCall),
+    Reach(ReachCall),
     Catalog,
 }
 
@@ -169,6 +176,10 @@
     tokens: TokenGuard,
     /// How far the process is behind.
     lag: Duration,
+    /// When the reach is looked at next.
+    reach_due: Duration,
+    /// What this node reaches; made at the first step, which has the time.
+    reach: Option<Reach>,
 }
 
 impl Node {
@@ -195,6 +206,8 @@
             held: Vec::new(),
             tokens: TokenGuard::default(),
             lag: Duration::ZERO,
+            reach_due: Duration::ZERO,
+            reach: None,
         }
     }
 
@@ -209,6 +222,11 @@
         !(refused && (better || alone))
     }
 
+    /// Which sides this node sees, where that is judged.
+    pub fn mode(&self) -> Option<Mode> {
+        self.reach.as_ref().map(Reach::mode)
+    }
+
     /// Tells how far the process is behind for want of processor time, so that what can
     /// wait gives way.
     pub fn lags(&mut self, lag: Duration) {
@@ -216,13 +234,72 @@
     }
 
     pub fn step(&mut self, times: Times, batch: Vec<Event>) -> Vec<Effect> {
+        if self.reach.is_none() && self.settings.reachability.enabled {
+            self.reach = Some(Reach::new(self.settings.clone(), times.now));
+        }
         for event in batch {
             self.handle(times, event);
         }
+        self.judge_reach(times.now);
         self.tick(times);
+        self.tick_reach(times);
+        if let Some(reach) = &mut self.reach {
+            reach.sent(&self.out.effects, times.now);
+        }
         std::mem::take(&mut self.out.effects)
     }
 
+    /// Judges the links before anything is decided.
+    fn judge_reach(&mut self, now: Duration) {
+        let Some(reach) = self.reach.as_mut().filter(|reach| reach.is_due(now)) else { return };
+        let machines = self.leader.as_ref().map_or(0, Leader::machines_up);
+        reach.judge(machines, now, &mut self.out);
+        self.requests.permit(reach.users());
+        let holds_back = reach.holds_back(now);
+        self.election.hold_back(holds_back);
+    }
+
+    fn leader_facts(&self, now: Duration) -> Option<LeaderFacts> {
+        let steady = self.election.steady(now);
+        self.leader.as_ref().map(|leader| leader.facts(now, steady))
+    }
+
+    /// Tells the others of this node's reach, numbers machines, and hands the lease over
+    /// to a node that sees more.
+    fn tick_reach(&mut self, times: Times) {
+        let now = times.now;
+        let news = self.reach.as_ref().is_some_and(|reach| reach.tells_at() <= now);
+        if !news && now < self.reach_due {
+            return;
+        }
+        self.reach_due = now + REACH_LOOK;
+        let facts = self.leader_facts(now);
+        let Some(reach) = &mut self.reach else { return };
+        reach.tick(facts.as_ref(), now, &mut self.out);
+        let (Some(leader), Some(facts)) = (&mut self.leader, facts) else { return };
+        if facts.steady && reach.wants_numbers(now) {
+            reach.write_numbers(&leader.machine_names(), facts.token, &mut self.out);
+        }
+        leader.note_heard_elsewhere(now, |host| reach.heard_by_a_peer(host, now));
+        if let Some(successor) = reach.successor(&facts, now, &mut self.out) {
+            self.out.log(Level::Info, format!("hands the lease over to {successor}, which sees more"));
+            let verdict = self.election.abdicate(now, &mut self.out);
+            self.verdict(times, verdict);
+        }
+    }
+
+    /// A peer's coverage came, or was refused on the way.
+    fn coverage(&mut self, now: Duration, coverage: Result<Box<Coverage>, CoverageFault>) {
+        let holder = match (&self.leader, &self.election.foreman) {
+            (Some(leader), _) => Some(KnownHolder { host: &self.settings.host, token: leader.token }),
+            (None, Some((host, token))) => Some(KnownHolder { host, token: *token }),
+            (None, None) => None,
+        };
+        if let Some(reach) = &mut self.reach {
+            reach.coverage(coverage.map(|coverage| *coverage), holder, now, &mut self.out);
+        }
+    }
+
     /// When [`Node::step`] is to be called next if no event comes before. Whatever a
     /// process does at fixed times without need costs it as much as a report.
     pub fn next_wake(&self, now: Duration) -> Duration {
@@ -233,7 +310,8 @@
         let leader = self.leader.as_ref().map(|leader| leader.next_due(now, retry));
         let dues =
             [self.election.next_due(), self.version_barrier.next_due(), catalog, held, waiting, leader];
-        let next = dues.into_iter().flatten().fold(self.pulse_due, Duration::min);
+        let reach = self.reach.as_ref().map(|reach| reach.next_due(now));
+        let next = dues.into_iter().chain([reach]).flatten().fold(self.pulse_due, Duration::min);
         next.max(now + LEAST_WAKE)
     }
 
@@ -255,6 +333,9 @@
                 self.out.answer(ask, answer);
             }
             Event::State { call, reply } => {
+                if let Some(reach) = &mut self.reach {
+                    reach.state_reply(call, &reply, now);
+                }
                 match &reply {
                     Ok(_) => {
                         let out = self.state_bad.take().map(|since| now.saturating_sub(since));
@@ -282,6 +363,11 @@
                         let news = self.version_barrier.reply(step, reply, &mut self.out);
                         self.opened(news);
                     }
+                    Some(Purpose::Reach(reach_call)) => {
+                        if let Some(reach) = &mut self.reach {
+                            reach.reply(reach_call, reply, now, &mut self.out);
+                        }
+                    }
                     Some(Purpose::RequestHandler(request)) => self.request(times, request, reply),
                     Some(Purpose::Leader(token, leader_call)) => {
                         if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
@@ -300,16 +386,24 @@
                     _ => {}
                 }
             }
-            Event::Cloud { call, reply } => match self.out.calls.remove(&call) {
-                Some(Purpose::Catalog) => self.catalog(now, reply),
-                Some(Purpose::Leader(token, leader_call)) => {
-                    if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
-                        leader.cloud_reply(times, leader_call, reply, &mut self.out);
+            Event::Cloud { call, reply } => {
+                if let Some(reach) = &mut self.reach {
+                    reach.cloud_reply(call, &reply, now);
+                }
+                match self.out.calls.remove(&call) {
+                    Some(Purpose::Catalog) => self.catalog(now, reply),
+                    Some(Purpose::Leader(token, leader_call)) => {
+                        if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
+                            leader.cloud_reply(times, leader_call, reply, &mut self.out);
+                        }
                     }
+                    _ => {}
                 }
-                _ => {}
-            },
+            }
             Event::Orders { call, reply } => {
+                if let Some(reach) = &mut self.reach {
+                    reach.orders_reply(call, &reply, now);
+                }
                 if let Some(Purpose::Leader(token, leader_call)) = self.out.calls.remove(&call) {
                     if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
                         leader.orders_reply(times, leader_call, reply, &mut self.out);
@@ -317,6 +411,12 @@
                 }
             }
             Event::Pulse(pulse) => self.pulse(times, pulse),
+            Event::Coverage(coverage) => self.coverage(now, coverage),
+            Event::PeerTold { host, confirmed } => {
+                if let Some(reach) = &mut self.reach {
+                    reach.peer_told(&host, confirmed, now);
+                }
+            }
             Event::View { ask } => {
                 let view = self.view(times);
                 self.out.answer(ask, Answer::View(view));
@@ -361,6 +461,9 @@
             Verdict::Lost => {
                 self.out.log(Level::Info, "leads no more".into());
                 self.leader = None;
+                if let Some(reach) = &mut self.reach {
+                    reach.leads_no_more();
+                }
             }
         }
     }
@@ -368,6 +471,7 @@
     fn beat(&mut self, times: Times, report: Report, relayed: bool) -> Answer {
         let now = times.now;
         self.tokens.learn(report.token);
+        self.note_report(&report, relayed, now);
         let adrift = !self.election.firm(now) && !self.company(now);
         if let Some(leader) = &mut self.leader {
             if report.token <= leader.token {
@@ -400,6 +504,15 @@
         Answer::Elsewhere { foreman: Some(foreman) }
     }
 
+    /// What a report tells of the links to workers.
+    fn note_report(&mut self, report: &Report, relayed: bool, now: Duration) {
+        let Some(reach) = &mut self.reach else { return };
+        reach.report(&report.host, relayed, now);
+        if let Some(shown) = self.leader.as_ref().and_then(|leader| leader.answer_shown(report)) {
+            reach.answer_shown(shown, now);
+        }
+    }
+
     /// Answers the reports that waited for the leader to read, once it has or has
     /// failed to.
     fn release_held(&mut self, times: Times) {
@@ -488,6 +601,9 @@
             self.verdict(times, verdict);
         }
         let now = times.now;
+        if let Some(reach) = &mut self.reach {
+            reach.peer_heard(&pulse.host, now);
+        }
         if pulse.token > 0 {
             self.requests.progress(&pulse.progress);
         }
@@ -508,6 +624,8 @@
             steady: self.election.steady(now),
             among_all: self.among_all(now),
             behind: self.lag > BEHIND,
+            mode: self.reach.as_ref().map_or(Mode::Whole, Reach::mode),
+            peers_agree: self.reach.as_ref().is_some_and(|reach| reach.peers_agree(now)),
         };
         if let Some(leader) = &mut self.leader {
             leader.tick(times, sight, &mut self.requests, &mut self.out);
@@ -517,7 +635,9 @@
         }
         // Without the state service nobody could take over, and what this leader knows of
         // cancellations would be lost: it runs out of its key by itself.
-        let other = sight.firm && self.company(now);
+        // Where all nodes tell what they hear, that decides who should lead.
+        let coverage = self.reach.as_ref().is_some_and(|reach| reach.is_complete(now));
+        let other = sight.firm && self.company(now) && !coverage;
         if other && self.leader.as_ref().is_some_and(|l| l.isolated(now)) {
             self.out.log(Level::Info, "hears no worker and steps down".into());
             let verdict = self.election.abdicate(now, &mut self.out);
@@ -555,6 +675,7 @@
             "foreman": self.foreman(times.now, 0).map(|(_, host)| host),
             "tokens": {"highest": self.tokens.highest(), "refused": self.tokens.refused()},
             "siblings": siblings,
+            "reachability": self.reach.as_ref().map(|reach| reach.view(times.now)),
         })
     }
 }
--- a/crates/plankhead-core/src/protocol.rs
+++ b/crates/plankhead-core/src/protocol.rs
@@ -2,6 +2,7 @@
 
 use crate::job::{JobId, JobSpec, Phase};
 use plankhead_fencing::gate::Permitted;
+use plankhead_reachability::coverage::{Coverage, CoverageFault};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,6 +47,13 @@
         reply: OrdersReply,
     },
     Pulse(Pulse),
+    /// What a peer tells of its reach, or why its message was refused.
+    Coverage(Result<Box<Coverage>, CoverageFault>),
+    /// What came of telling a peer something.
+    PeerTold {
+        host: String,
+        confirmed: bool,
+    },
     /// Asks for the operators' view.
     View {
         ask: Ask,
@@ -75,6 +83,8 @@
     },
     /// Tells every sibling.
     Pulse(Pulse),
+    /// Tells every sibling of this node's reach.
+    Coverage(Box<Coverage>),
     Log(Level, String),
 }
 
--- /dev/null
+++ b/crates/plankhead-core/src/reach.rs
@@ -0,0 +1,515 @@
+//! What this node can reach, and what follows from it: feeds [`plankhead_reachability`]
+//! with what calls and messages confirm, keeps the numbering of machines, and exchanges
+//! coverage with the other nodes.
+
+use crate::election;
+use crate::node::{Out, Purpose};
+use crate::protocol::{
+    Call, CallError, Change, Condition, Effect, HostName, Level, OrdersReply, Row, StateOp, StateReply,
+};
+use crate::settings::Settings;
+use plankhead_reachability::coverage::{Coverage, CoverageFault, CoverageTable, KnownHolder};
+use plankhead_reachability::handover::{Candidate, Handover, OwnView};
+use plankhead_reachability::link::LinkId;
+use plankhead_reachability::mode::Mode;
+use plankhead_reachability::monitor::{ModeChange, Monitor};
+use plankhead_reachability::numbering::{self, Numbering};
+use plankhead_reachability::permission::{Action, Permission};
+use roaring::RoaringBitmap;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two reads of the numbering, and after a failure or when it is behind.
+const NUMBERING_AGE: Duration = Duration::from_secs(15);
+const NUMBERING_RETRY: Duration = Duration::from_secs(2);
+/// Time between two looks for machines without a number.
+const NUMBERING_LOOK: Duration = Duration::from_secs(2);
+/// A failing link without traffic is tried this often.
+const PROBE: Duration = Duration::from_secs(1);
+/// No key ever has this revision: a change under that condition is refused, and shows that
+/// changes are taken.
+const NO_REVISION: u64 = u64::MAX / 2;
+/// Machines that the node remembers to have heard.
+const MAX_HEARD: usize = 16_384;
+/// Refused messages are logged this often at the most.
+const FAULT_PAUSE: Duration = Duration::from_secs(10);
+
+/// What a call of the reachability's own was for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReachCall {
+    ListPages,
+    WritePage { key: String, value: String },
+    Probe,
+}
+
+/// What the leader tells of itself.
+#[derive(Debug, Clone, Default)]
+pub struct LeaderFacts {
+    pub token: u64,
+    pub since: Duration,
+    /// Its grant is good, and nothing says that the state service fails it.
+    pub steady: bool,
+    /// Machines that should report to it.
+    pub up: usize,
+    /// Machines whose reports came lately without a detour.
+    pub direct: Vec<HostName>,
+    /// Machines that confirmed an answer or a command lately.
+    pub reached: Vec<HostName>,
+}
+
+/// What users' requests may lead to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UserPermissions {
+    pub accept: bool,
+    pub cancel: bool,
+    pub answer_from_memory: bool,
+}
+
+impl UserPermissions {
+    pub const ALL: Self = Self { accept: true, cancel: true, answer_from_memory: true };
+}
+
+#[derive(Debug)]
+pub struct Reach {
+    settings: Arc<Settings>,
+    monitor: Monitor,
+    table: CoverageTable,
+    numbering: Numbering,
+    handover: Handover,
+    /// Which link a call under way tells of.
+    calls: HashMap<Call, LinkId>,
+    /// Machines whose reports reached this node itself, and when.
+    heard: HashMap<HostName, Duration>,
+    sequence: u64,
+    coverage_due: Duration,
+    listing: bool,
+    list_after: Option<String>,
+    list_due: Duration,
+    /// All pages were read once.
+    read: bool,
+    writing: bool,
+    write_due: Duration,
+    probe_due: Duration,
+    fault_due: Duration,
+}
+
+fn state_link(op: &StateOp) -> LinkId {
+    match op {
+        StateOp::Get { .. } | StateOp::List { .. } => LinkId::StateReads,
+        StateOp::Txn { .. } | StateOp::Grant { .. } | StateOp::Revoke { .. } => LinkId::StateWrites,
+        StateOp::Touch { .. } => LinkId::StateRenewal,
+        StateOp::Follow { .. } => LinkId::StateWatch,
+    }
+}
+
+impl Reach {
+    pub fn new(settings: Arc<Settings>, now: Duration) -> Self {
+        let reachability = &settings.reachability;
+        let silence = settings.gap() + Duration::from_secs(1);
+        Self {
+            monitor: Monitor::new(reachability, settings.siblings.len(), silence, now),
+            table: CoverageTable::new(&settings.host, &settings.siblings),
+            numbering: Numbering::default(),
+            handover: Handover::new(reachability),
+            settings,
+            calls: HashMap::new(),
+            heard: HashMap::new(),
+            sequence: 0,
+            coverage_due: now,
+            listing: false,
+            list_after: None,
+            list_due: now,
+            read: false,
+            writing: false,
+            write_due: now,
+            probe_due: now,
+            fault_due: now,
+        }
+    }
+
+    pub fn enabled(&self) -> bool {
+        self.settings.reachability.enabled
+    }
+
+    pub fn mode(&self) -> Mode {
+        self.monitor.mode()
+    }
+
+    /// The permission for an action, where no bound has to be judged.
+    fn allows(&self, mode: Mode, action: Action) -> bool {
+        matches!(self.settings.reachability.table.of(mode, action), Permission::Allowed)
+    }
+
+    /// What users may have now. Their requests carry their own evidence, so that a state
+    /// service which answers is enough, even where it is not trusted to last.
+    pub fn users(&self) -> UserPermissions {
+        let mode = match (self.monitor.mode(), self.monitor.state_good()) {
+            (Mode::WorkersOnly, true) => Mode::Whole,
+            (Mode::Isolated, true) => Mode::StateOnly,
+            (mode, _) => mode,
+        };
+        UserPermissions {
+            accept: self.allows(mode, Action::Accept),
+            cancel: self.allows(mode, Action::Cancel),
+            answer_from_memory: self.allows(mode, Action::AnswerFromMemory),
+        }
+    }
+
+    /// Whether this node should leave the lease to others that see more, for a moment.
+    pub fn holds_back(&self, now: Duration) -> bool {
+        let half_blind = !self.allows(self.mode(), Action::Lead);
+        let successor = |c: &Coverage| c.successor.as_ref().is_some_and(|host| *host != self.settings.host);
+        self.table.fresh(now).any(|c| successor(c) || half_blind && c.mode == Mode::Whole)
+    }
+
+    // ----- evidence -----
+
+    /// Notes the calls that go out.
+    pub fn sent(&mut self, effects: &[Effect], now: Duration) {
+        for effect in effects {
+            let (call, link) = match effect {
+                Effect::State { call, op } => (*call, state_link(op)),
+                Effect::Cloud { call, .. } => (*call, LinkId::Cloud),
+                Effect::Orders { call, .. } => (*call, LinkId::Commands),
+                _ => continue,
+            };
+            self.calls.insert(call, link);
+            // A watch waits by its nature, and a machine that hangs is no link's fault.
+            if !matches!(link, LinkId::StateWatch | LinkId::Commands) {
+                self.monitor.sent(link, call, now);
+            }
+        }
+    }
+
+    pub fn state_reply(&mut self, call: Call, reply: &Result<StateReply, CallError>, now: Duration) {
+        let Some(link) = self.calls.remove(&call) else { return };
+        match reply {
+            Ok(_) | Err(CallError::TooLarge) => self.monitor.answered(link, call, now),
+            // It is there, and has too much to do.
+            Err(CallError::Busy) => self.monitor.dropped(link, call),
+            Err(CallError::Refused | CallError::Lost) => self.monitor.unanswered(link, call, now),
+        }
+    }
+
+    pub fn cloud_reply<T>(&mut self, call: Call, reply: &Result<T, CallError>, now: Duration) {
+        let Some(link) = self.calls.remove(&call) else { return };
+        match reply {
+            Err(CallError::Lost) => self.monitor.unanswered(link, call, now),
+            _ => self.monitor.answered(link, call, now),
+        }
+    }
+
+    pub fn orders_reply(&mut self, call: Call, reply: &OrdersReply, now: Duration) {
+        let Some(link) = self.calls.remove(&call) else { return };
+        match reply {
+            OrdersReply::Answered(_) => self.monitor.confirmed(link, now),
+            OrdersReply::NotSent | OrdersReply::Unanswered => self.monitor.failed(link, now),
+        }
+    }
+
+    /// A worker's report came; `relayed`: through a peer.
+    pub fn report(&mut self, host: &HostName, relayed: bool, now: Duration) {
+        self.monitor.report_arrived(now);
+        if relayed {
+            return;
+        }
+        let remembered = self.heard.len() < MAX_HEARD;
+        if let Some(at) = self.heard.get_mut(host) {
+            *at = now;
+        } else if remembered {
+            self.heard.insert(host.clone(), now);
+        }
+    }
+
+    /// A worker that was answered before reported again, and does or does not show it.
+    pub fn answer_shown(&mut self, shown: bool, now: Duration) {
+        match shown {
+            true => self.monitor.confirmed(LinkId::Answers, now),
+            false => self.monitor.failed(LinkId::Answers, now),
+        }
+    }
+
+    fn peer(&self, host: &str) -> Option<usize> {
+        self.settings.siblings.iter().position(|sibling| sibling == host)
+    }
+
+    pub fn peer_heard(&mut self, host: &str, now: Duration) {
+        if let Some(peer) = self.peer(host) {
+            self.monitor.peer_heard(peer, now);
+        }
+    }
+
+    /// What came of telling a peer something.
+    pub fn peer_told(&mut self, host: &str, confirmed: bool, now: Duration) {
+        let Some(peer) = self.peer(host) else { return };
+        match confirmed {
+            true => self.monitor.confirmed(LinkId::PeerOut(peer), now),
+            false => self.monitor.failed(LinkId::PeerOut(peer), now),
+        }
+    }
+
+    /// The lease is over: nothing renews it, so that nothing tells of that link.
+    pub fn leads_no_more(&mut self) {
+        self.monitor.forget_link(LinkId::StateRenewal);
+        self.monitor.forget_link(LinkId::Answers);
+    }
+
+    // ----- coverage -----
+
+    /// Takes in what a peer tells, or says why not.
+    pub fn coverage(
+        &mut self,
+        coverage: Result<Coverage, CoverageFault>,
+        holder: Option<KnownHolder<'_>>,
+        now: Duration,
+        out: &mut Out,
+    ) -> bool {
+        let received = match coverage {
+            Ok(coverage) => self.table.receive(coverage, now, &self.numbering, holder).map(|_| ()),
+            Err(fault) => {
+                self.table.count_refused();
+                Err(fault)
+            }
+        };
+        let Err(fault) = received else { return true };
+        if fault == CoverageFault::NumberingAhead {
+            self.list_due = self.list_due.min(now);
+        } else if now >= self.fault_due {
+            self.fault_due = now + FAULT_PAUSE;
+            out.log(Level::Info, format!("a peer's coverage was refused: {fault}"));
+        }
+        false
+    }
+
+    /// Whether some peer hears the machine.
+    pub fn heard_by_a_peer(&self, host: &str, now: Duration) -> bool {
+        self.table.heard_by_a_peer(host, &self.numbering, now)
+    }
+
+    /// Whether every peer says that it hears no machine either.
+    pub fn peers_agree(&self, now: Duration) -> bool {
+        self.table.nobody_hears(now)
+    }
+
+    /// Whether all peers exchange coverage, so that it decides who should lead.
+    pub fn is_complete(&self, now: Duration) -> bool {
+        self.enabled() && !self.settings.siblings.is_empty() && self.table.complete(now)
+    }
+
+    fn numbers<'a>(&self, hosts: impl Iterator<Item = &'a HostName>) -> RoaringBitmap {
+        hosts.filter_map(|host| self.numbering.number(host)).collect()
+    }
+
+    fn tell(&mut self, facts: Option<&LeaderFacts>, successor: Option<String>, now: Duration, out: &mut Out) {
+        let lately = self.settings.gap() + Duration::from_secs(1);
+        self.heard.retain(|_, at| now.saturating_sub(*at) < lately);
+        self.sequence += 1;
+        let siblings = self.settings.siblings.iter().enumerate();
+        let peers = siblings.filter(|(peer, _)| self.monitor.hears_peer(*peer));
+        let peers = peers.map(|(_, sibling)| sibling.clone()).collect();
+        let coverage = Coverage {
+            host: self.settings.host.clone(),
+            boot: self.settings.boot,
+            sequence: self.sequence,
+            token: facts.map_or(0, |facts| facts.token),
+            mode: self.mode(),
+            numbering: self.numbering.revision(),
+            heard: self.numbers(self.heard.keys()),
+            reached: facts.map(|facts| self.numbers(facts.reached.iter())).unwrap_or_default(),
+            expected: facts.map_or(0, |facts| u32::try_from(facts.up).unwrap_or(u32::MAX)),
+            peers,
+            successor,
+        };
+        out.effects.push(Effect::Coverage(Box::new(coverage)));
+    }
+
+    /// The node that this leader should hand over to now; the others are told.
+    pub fn successor(&mut self, facts: &LeaderFacts, now: Duration, out: &mut Out) -> Option<String> {
+        if !facts.steady {
+            // What can't be given up runs out by itself.
+            return None;
+        }
+        let own = OwnView {
+            mode: self.mode(),
+            heard: facts.direct.len() as u64,
+            expected: facts.up as u64,
+            state_suppressed: self.monitor.state_suppressed(now),
+        };
+        let candidate = |coverage: &Coverage| Candidate {
+            host: coverage.host.clone(),
+            mode: coverage.mode,
+            heard: coverage.heard.len(),
+        };
+        let candidates: Vec<Candidate> = self.table.fresh(now).map(candidate).collect();
+        let successor = self.handover.decide(&own, &candidates, facts.since, now)?;
+        self.tell(Some(facts), Some(successor.clone()), now, out);
+        Some(successor)
+    }
+
+    // ----- time -----
+
+    /// Whether it is time to judge the links.
+    pub fn is_due(&self, now: Duration) -> bool {
+        self.monitor.due(now)
+    }
+
+    /// When the others are told next of this node's reach.
+    pub fn tells_at(&self) -> Duration {
+        self.coverage_due
+    }
+
+    /// Judges the links; a change of mode is logged, in one line.
+    pub fn judge(&mut self, machines: usize, now: Duration, out: &mut Out) -> Option<ModeChange> {
+        let change = self.monitor.judge(now, machines)?;
+        let causes =
+            if change.causes.is_empty() { "all links hold".into() } else { change.causes.join(", ") };
+        let (from, to, lasted) = (change.from.name(), change.to.name(), change.lasted.as_secs_f64());
+        out.log(Level::Info, format!("sees {to} after {lasted:.1} s of {from} ({causes})"));
+        // The others should know at once.
+        self.coverage_due = now;
+        Some(change)
+    }
+
+    pub fn tick(&mut self, facts: Option<&LeaderFacts>, now: Duration, out: &mut Out) {
+        if now >= self.coverage_due {
+            self.coverage_due = now + self.settings.reachability.coverage_interval;
+            self.tell(facts, None, now, out);
+        }
+        if !self.listing && now >= self.list_due {
+            self.listing = true;
+            self.list(out);
+        }
+        if now >= self.probe_due {
+            self.probe_due = now + PROBE;
+            self.probe(out);
+        }
+    }
+
+    /// Whether the leader should look for machines without a number.
+    pub fn wants_numbers(&mut self, now: Duration) -> bool {
+        let due = self.read && !self.writing && now >= self.write_due;
+        if due {
+            self.write_due = now + NUMBERING_LOOK;
+        }
+        due
+    }
+
+    /// Writes one page of the numbering, as the leader.
+    pub fn write_numbers(&mut self, machines: &BTreeSet<HostName>, token: u64, out: &mut Out) {
+        let Some(write) = self.numbering.next_write(machines, self.settings.value_bytes) else { return };
+        self.writing = true;
+        let lead = Condition { key: election::KEY.into(), stamp: token };
+        let page = Condition { key: write.key.clone(), stamp: write.revision };
+        let (key, value) = (write.key, write.value);
+        let changes = vec![Change::Write { key: key.clone(), value: value.clone(), hold: None }];
+        let call = ReachCall::WritePage { key, value };
+        out.state(Purpose::Reach(call), StateOp::Txn { conditions: vec![lead, page], changes });
+    }
+
+    fn list(&self, out: &mut Out) {
+        let op = StateOp::List { prefix: numbering::PREFIX.into(), after: self.list_after.clone() };
+        out.state(Purpose::Reach(ReachCall::ListPages), op);
+    }
+
+    /// Tries links that fail and that nothing else uses.
+    fn probe(&mut self, out: &mut Out) {
+        if self.monitor.wants_probe(LinkId::StateReads) {
+            out.state(Purpose::Reach(ReachCall::Probe), StateOp::Get { key: election::KEY.into() });
+        }
+        if self.monitor.wants_probe(LinkId::StateWrites) {
+            let conditions = vec![Condition { key: election::KEY.into(), stamp: NO_REVISION }];
+            let changes = vec![Change::Drop { key: election::KEY.into() }];
+            out.state(Purpose::Reach(ReachCall::Probe), StateOp::Txn { conditions, changes });
+        }
+    }
+
+    pub fn reply(
+        &mut self,
+        call: ReachCall,
+        reply: Result<StateReply, CallError>,
+        now: Duration,
+        out: &mut Out,
+    ) {
+        match call {
+            ReachCall::Probe => {}
+            ReachCall::ListPages => self.listed(reply, now, out),
+            ReachCall::WritePage { key, value } => {
+                self.writing = false;
+                match reply {
+                    Ok(StateReply::Committed { epoch }) => {
+                        self.take_in(&Row { key, value, stamp: epoch }, out);
+                        // More may be left to write.
+                        self.write_due = now;
+                    }
+                    // The page is another than was thought, or may be.
+                    _ => self.list_due = now,
+                }
+            }
+        }
+    }
+
+    fn listed(&mut self, reply: Result<StateReply, CallError>, now: Duration, out: &mut Out) {
+        let Ok(StateReply::Page { rows, truncated, .. }) = reply else {
+            self.listing = false;
+            self.list_after = None;
+            self.list_due = now + NUMBERING_RETRY;
+            return;
+        };
+        for row in &rows {
+            self.take_in(row, out);
+        }
+        self.list_after = rows.last().map(|row| row.key.clone()).filter(|_| truncated);
+        if truncated {
+            return self.list(out);
+        }
+        self.read = true;
+        self.listing = false;
+        self.list_due = now + NUMBERING_AGE;
+    }
+
+    fn take_in(&mut self, row: &Row, out: &mut Out) {
+        if let Err(fault) = self.numbering.read(&row.key, &row.value, row.stamp) {
+            out.log(Level::Debug, format!("left alone: {fault}"));
+        }
+    }
+
+    /// When something is to be done next unless something comes before.
+    pub fn next_due(&self, now: Duration) -> Duration {
+        let list = (!self.listing).then_some(self.list_due);
+        let dues = [list, self.monitor.next_due(now)];
+        dues.into_iter().flatten().fold(self.coverage_due, Duration::min)
+    }
+
+    pub fn view(&self, now: Duration) -> serde_json::Value {
+        let age = |at: Duration| now.saturating_sub(at).as_secs_f64();
+        let peer = |number: usize| self.settings.siblings.get(number).cloned();
+        let link = |view: plankhead_reachability::monitor::LinkView| {
+            let of = match view.link {
+                LinkId::PeerIn(number) | LinkId::PeerOut(number) => peer(number),
+                _ => None,
+            };
+            serde_json::json!({"link": view.link.name(), "peer": of, "condition": view.condition.name(),
+                "sinceS": age(view.since), "confirmed": view.counts.confirmed, "failed": view.counts.failed,
+                "highRoundTripS": view.high_round_trip.map(|time| time.as_secs_f64())})
+        };
+        let told = |coverage: &Coverage| {
+            serde_json::json!({"host": coverage.host, "mode": coverage.mode, "heard": coverage.heard.len(),
+                "reached": coverage.reached.len(), "expected": coverage.expected,
+                "hears": coverage.peers, "leads": coverage.token > 0})
+        };
+        serde_json::json!({
+            "enabled": self.enabled(),
+            "mode": self.mode(),
+            "sinceS": age(self.monitor.mode_since()),
+            "changes": self.monitor.changes(),
+            "freezes": self.monitor.freezes(),
+            "handovers": self.handover.recent(),
+            "links": self.monitor.links().into_iter().map(link).collect::<Vec<_>>(),
+            "heard": self.heard.len(),
+            "numbered": self.numbering.len(),
+            "refusedCoverage": self.table.refused(),
+            "peers": self.table.fresh(now).map(told).collect::<Vec<_>>(),
+        })
+    }
+}
--- a/crates/plankhead-core/src/requests.rs
+++ b/crates/plankhead-core/src/requests.rs
@@ -8,6 +8,7 @@
 use crate::protocol::{
     Answer, Ask, CallError, Change, Condition, Progress, Rig, Row, StateOp, StateReply, Status,
 };
+use crate::reach::UserPermissions;
 use crate::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -84,6 +85,7 @@
     failing: bool,
     probed: Duration,
     held: Duration,
+    permissions: UserPermissions,
 }
 
 /// A node's part of the changes that the state service takes, for its users.
@@ -109,9 +111,15 @@
             failing: false,
             probed: Duration::ZERO,
             held: Duration::ZERO,
+            permissions: UserPermissions::ALL,
         }
     }
 
+    /// What this node may do for users at present.
+    pub fn permit(&mut self, permissions: UserPermissions) {
+        self.permissions = permissions;
+    }
+
     /// The state service may take less from now on.
     pub fn all_new(&mut self) {
         let (now, next) = (self.settings.write_rps, self.settings.write_rps_next);
@@ -182,6 +190,9 @@
     }
 
     fn known(&self, ask: Ask, id: &JobId, out: &mut Out) -> bool {
+        if !self.permissions.answer_from_memory {
+            return false;
+        }
         let Some((status, done)) = self.finals.get(id) else { return false };
         let answer = Answer::Job { fresh: false, id: id.clone(), status: *status, done: *done, running: 0 };
         out.answer(ask, answer);
@@ -197,7 +208,13 @@
         (rigs, takes_gangs): (&BTreeMap<String, Rig>, bool),
         out: &mut Out,
     ) {
-        if self.known(ask, &id, out) || !self.admit(times.now, ask, out) {
+        if self.known(ask, &id, out) {
+            return;
+        }
+        if !self.permissions.accept {
+            return Self::unavailable(ask, out);
+        }
+        if !self.admit(times.now, ask, out) {
             return;
         }
         // A known id is answered before the body is judged.
@@ -282,7 +299,13 @@
     }
 
     pub fn abort(&mut self, now: Duration, ask: Ask, id: JobId, out: &mut Out) {
-        if !self.known(ask, &id, out) && self.admit(now, ask, out) {
+        if self.known(ask, &id, out) {
+            return;
+        }
+        if !self.permissions.cancel {
+            return Self::unavailable(ask, out);
+        }
+        if self.admit(now, ask, out) {
             self.look(now, ask, id, LookupReason::Abort { attempts: 0 }, out);
         }
     }
--- a/crates/plankhead-core/src/settings.rs
+++ b/crates/plankhead-core/src/settings.rs
@@ -1,5 +1,6 @@
 //! What the core must know of its deployment.
 
+use plankhead_reachability::settings::Settings as Reachability;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -91,6 +92,7 @@
     pub clock_off: Duration,
     pub sizing: Sizing,
     pub fencing: Fencing,
+    pub reachability: Reachability,
 }
 
 /// What a worker that got no answer needs until it is heard again: 4 s to notice,
--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -105,6 +105,7 @@
         clock_off: Duration::from_millis(100),
         sizing: Sizing::default(),
         fencing: Fencing::default(),
+        reachability: Default::default(),
     }
 }
 
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -66,6 +66,7 @@
         clock_off: ms(100),
         sizing: Sizing::default(),
         fencing: Fencing::default(),
+        reachability: Default::default(),
     }
 }
 
--- a/crates/plankhead-core/tests/upgrade.rs
+++ b/crates/plankhead-core/tests/upgrade.rs
@@ -222,6 +222,7 @@
         clock_off: Duration::ZERO,
         sizing: Sizing::default(),
         fencing: Fencing::default(),
+        reachability: Default::default(),
     }
 }
 
--- /dev/null
+++ b/crates/plankhead-core/tests/world/cuts.rs
@@ -0,0 +1,182 @@
+//! Half-open cuts: one link of one node fails in one direction, while the others hold.
+
+use super::*;
+
+/// Which link of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    Reads,
+    Writes,
+    Watch,
+    Renewal,
+    /// Reports of workers to the node.
+    Reports,
+    /// The node's answers to them.
+    Answers,
+    /// Its commands to workers.
+    Commands,
+    PeersIn,
+    PeersOut,
+    Cloud,
+}
+
+pub const STATE_LINKS: [Link; 4] = [Link::Reads, Link::Writes, Link::Watch, Link::Renewal];
+pub const WORKER_LINKS: [Link; 3] = [Link::Reports, Link::Answers, Link::Commands];
+pub const PEER_LINKS: [Link; 2] = [Link::PeersIn, Link::PeersOut];
+
+/// How it fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum How {
+    /// Connections are refused at once.
+    Refuse,
+    /// Accepted and never carried out.
+    Stall,
+    /// Carried out, and never answered.
+    LoseAnswers,
+}
+
+pub const HOWS: [How; 3] = [How::Refuse, How::Stall, How::LoseAnswers];
+
+#[derive(Debug, Clone, Copy)]
+pub struct LinkCut {
+    pub node: usize,
+    pub link: Link,
+    pub how: How,
+    pub until: Duration,
+}
+
+/// Until a call without an answer is given up, by whom it is made.
+const STATE_PATIENCE: Duration = ms(1200);
+const CLOUD_PATIENCE: Duration = secs(3);
+const COMMAND_PATIENCE: Duration = secs(2);
+
+fn link_of(op: &StateOp) -> Link {
+    match op {
+        StateOp::Get { .. } | StateOp::List { .. } => Link::Reads,
+        StateOp::Txn { .. } | StateOp::Grant { .. } | StateOp::Revoke { .. } => Link::Writes,
+        StateOp::Touch { .. } => Link::Renewal,
+        StateOp::Follow { .. } => Link::Watch,
+    }
+}
+
+impl World {
+    /// How the link fails just now, if it does.
+    pub(super) fn cut_of(&self, node: usize, link: Link) -> Option<How> {
+        let here = |cut: &&LinkCut| cut.node == node && cut.link == link && self.now < cut.until;
+        self.link_cuts.iter().find(here).map(|cut| cut.how)
+    }
+
+    pub(super) fn cut_link(&mut self, cut: LinkCut) {
+        let now = self.now;
+        self.link_cuts.retain(|other| now < other.until);
+        self.link_cuts.push(cut);
+    }
+
+    /// Cuts the links of a node again and again: down for the first half of each period.
+    pub fn flap(&mut self, node: usize, links: &[Link], how: How, period: Duration, span: (u64, u64)) {
+        let (mut at, end) = (secs(span.0), secs(span.1));
+        while at < end {
+            for link in links {
+                let until = self.now + at + period / 2;
+                self.at(at, Happening::CutLink(LinkCut { node, link: *link, how, until }));
+            }
+            at += period;
+        }
+    }
+
+    /// Cuts links of a node for some time.
+    pub fn cut_links(&mut self, node: usize, links: &[Link], how: How, span: (u64, u64)) {
+        self.flap(node, links, how, secs(2 * (span.1 - span.0)), span);
+    }
+
+    /// What becomes of an effect over a link that fails; gives it back where it passes.
+    pub(super) fn pass_cuts(&mut self, actor: fencing::Actor, effect: Effect) -> Option<Effect> {
+        let fencing::Actor { node, boot, .. } = actor;
+        let link = match &effect {
+            Effect::State { op, .. } => link_of(op),
+            Effect::Cloud { .. } => Link::Cloud,
+            Effect::Orders { .. } => Link::Commands,
+            Effect::Answer { ask, .. } => match self.asks.get(&(node, boot, *ask)) {
+                Some((_, Asked::Beat { .. })) => Link::Answers,
+                _ => return Some(effect),
+            },
+            _ => return Some(effect),
+        };
+        let Some(how) = self.cut_of(node, link) else { return Some(effect) };
+        let carried_out = how == How::LoseAnswers;
+        let (patience, reply) = match effect {
+            Effect::State { call, op } => {
+                let follow = matches!(op, StateOp::Follow { .. });
+                if carried_out && !follow {
+                    self.at(ms(2), Happening::StateArrives { node, boot, call, op, answered: false });
+                }
+                let error = if how == How::Refuse { CallError::Refused } else { CallError::Lost };
+                (STATE_PATIENCE, Event::State { call, reply: Err(error) })
+            }
+            Effect::Cloud { call, op } => {
+                if carried_out {
+                    self.at(ms(100), Happening::CloudArrives { actor, call, op, answered: false });
+                }
+                (CLOUD_PATIENCE, Event::Cloud { call, reply: Err(CallError::Lost) })
+            }
+            Effect::Orders { call, address, token, shift, orders } => {
+                self.sent(token, &orders);
+                let host: HostName = address.as_ref().trim_start_matches("at-").into();
+                if carried_out {
+                    let arrives = Happening::OrdersArrive { node, boot: 0, call, host, token, shift, orders };
+                    self.at(ms(2), arrives);
+                }
+                let reply = if how == How::Refuse { OrdersReply::NotSent } else { OrdersReply::Unanswered };
+                (COMMAND_PATIENCE, Event::Orders { call, reply })
+            }
+            Effect::Answer { ask, answer } => {
+                if let Answer::Beat { token, orders } = &answer {
+                    self.sent(*token, orders);
+                }
+                self.asks.remove(&(node, boot, ask));
+                return None;
+            }
+            other => return Some(other),
+        };
+        let pause = if how == How::Refuse { ms(2) } else { patience };
+        self.at(pause, Happening::ToNode { node, boot, event: reply });
+        None
+    }
+
+    /// Whether what one node tells another arrives.
+    pub(super) fn peers_reach(&self, from: usize, to: usize) -> bool {
+        self.cut_of(from, Link::PeersOut).is_none() && self.cut_of(to, Link::PeersIn).is_none()
+    }
+
+    /// What a node tells all others of its reach.
+    pub(super) fn tell_coverage(&mut self, node: usize, boot: u64, coverage: Box<Coverage>) {
+        for other in (0..3).filter(|other| *other != node) {
+            let alone = self.alone[node].max(self.alone[other]);
+            let open = self.now >= self.node_cut[other].max(alone) && self.peers_reach(node, other);
+            let target = self.nodes[other].as_ref().filter(|_| open).map(|(boot, _)| *boot);
+            if let Some(boot) = target {
+                let event = Event::Coverage(Ok(coverage.clone()));
+                self.at(ms(2), Happening::ToNode { node: other, boot, event });
+            }
+            let event = Event::PeerTold { host: format!("plank-{other}"), confirmed: target.is_some() };
+            self.at(ms(4), Happening::ToNode { node, boot, event });
+        }
+    }
+
+    /// The mode that a node is in.
+    pub fn mode_of(&self, node: usize) -> Option<Mode> {
+        let (_, core) = self.nodes[node].as_ref()?;
+        core.mode()
+    }
+
+    /// The node that holds the leader's key.
+    pub fn holder(&self) -> Option<usize> {
+        let lease: serde_json::Value = serde_json::from_str(self.kv.value("lead")?).ok()?;
+        lease["host"].as_str()?.trim_start_matches("plank-").parse().ok()
+    }
+
+    /// How often the key changed hands.
+    pub fn terms(&self) -> u32 {
+        self.terms
+    }
+}
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -2,6 +2,7 @@
 //! cloud, workers and users, as the protocol describes them, with their
 //! troubles. It knows all, and asserts the rules at every step.
 
+pub mod cuts;
 mod fencing;
 mod gang;
 mod kv;
@@ -14,6 +15,10 @@
 use plankhead_core::node::{Node, Times};
 use plankhead_core::protocol::*;
 use plankhead_core::settings::{Fencing, Settings, Sizing, Team};
+use plankhead_reachability::coverage::Coverage;
+use plankhead_reachability::mode::Mode;
+use plankhead_reachability::permission::PermissionTable;
+use plankhead_reachability::settings::Settings as Reachability;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 pub use script::{Blow, Moment, Odd};
@@ -48,6 +53,8 @@
     pub look: Duration,
     /// Whether the nodes fence their duties.
     pub fenced: bool,
+    /// Whether the nodes judge what they reach.
+    pub reach: bool,
 }
 
 /// A few machines that report every second.
@@ -66,6 +73,7 @@
     crowd: 1,
     look: Duration::ZERO,
     fenced: false,
+    reach: false,
 };
 
 /// Hundreds of machines that report seldom and fail by the dozen.
@@ -84,6 +92,7 @@
     crowd: 40,
     look: ms(250),
     fenced: false,
+    reach: false,
 };
 
 pub const fn ms(n: u64) -> Duration {
@@ -160,6 +169,7 @@
         node: usize,
         until: Duration,
     },
+    CutLink(cuts::LinkCut),
     /// Whoever got no answer by then asks again.
     Unanswered {
         node: usize,
@@ -492,6 +502,10 @@
     pub inherited: usize,
     /// Which nodes fence their duties, from their next start on.
     pub fenced: [bool; 3],
+    /// What nodes may do, from their next start on.
+    pub table: PermissionTable,
+    link_cuts: Vec<cuts::LinkCut>,
+    terms: u32,
     pub clocks: [Clock; 3],
     /// What the cloud did, and for whom.
     pub effects: Effects,
@@ -512,7 +526,14 @@
     }
 }
 
-fn settings(kind: &Kind, node: usize, boot: u64, capacity: u32, (old, fenced): (bool, bool)) -> Settings {
+fn settings(
+    kind: &Kind,
+    node: usize,
+    boot: u64,
+    capacity: u32,
+    (old, fenced): (bool, bool),
+    table: &PermissionTable,
+) -> Settings {
     let name = |n: usize| format!("plank-{n}");
     let team = Team { cpus: kind.cap * 2.0 / 3.0, cpus_max: kind.cap, gpus: 0.0, gpus_max: 0.0 };
     Settings {
@@ -536,6 +557,11 @@
         clock_off: ms(100),
         sizing: Sizing { threshold: 1.5, interval: Some(secs(20)), capacity: Some(capacity) },
         fencing: Fencing { enabled: fenced, ..Fencing::default() },
+        reachability: Reachability {
+            enabled: kind.reach && !old,
+            table: table.clone(),
+            ..Reachability::default()
+        },
     }
 }
 
@@ -546,6 +572,7 @@
 
     pub fn of(mut kind: Kind, seed: u64, troubles: Troubles) -> Self {
         kind.fenced |= std::env::var_os("WORLD_FENCED").is_some();
+        kind.reach |= std::env::var_os("WORLD_REACH").is_some();
         let mut world = Self {
             now: EPOCH,
             rng: StdRng::seed_from_u64(seed),
@@ -597,6 +624,9 @@
             freezes: 0,
             inherited: 0,
             fenced: [kind.fenced; 3],
+            table: PermissionTable::standard(),
+            link_cuts: Vec::new(),
+            terms: 0,
             clocks: [TRUE_CLOCK; 3],
             effects: Effects::default(),
         };
@@ -846,8 +876,10 @@
                 self.boots += 1;
                 let boot = self.boots;
                 let kinds = (self.old[node], self.fenced[node]);
-                self.nodes[node] =
-                    Some((boot, Node::new(settings(&self.kind, node, boot, self.capacity, kinds))));
+                self.nodes[node] = Some((
+                    boot,
+                    Node::new(settings(&self.kind, node, boot, self.capacity, kinds, &self.table)),
+                ));
                 self.wakes[node] = self.now + ms(1);
                 self.frozen[node] = Duration::ZERO;
                 self.backlog[node].clear();
@@ -893,7 +925,8 @@
                 if let Some(at) = self.watches.iter().position(|w| w.id == watch) {
                     let watch = self.watches.swap_remove(at);
                     let cut = self.node_cut[watch.node].max(self.refused[watch.node]);
-                    let down = self.now < self.outage.max(cut);
+                    let watch_cut = self.cut_of(watch.node, cuts::Link::Watch).is_some();
+                    let down = watch_cut || self.now < self.outage.max(cut);
                     let reply = match down {
                         true => Err(CallError::Lost),
                         false => Ok(self.kv.changes(&watch.prefix, watch.after)),
@@ -992,6 +1025,7 @@
             Happening::CopyTo { node, report } => self.copy_to(node, report),
             Happening::Cut { until } => self.someone(|w| w.cut = until),
             Happening::CutNode { node, until } => self.node_cut[node] = until,
+            Happening::CutLink(cut) => self.cut_link(cut),
             Happening::Hang { until } => self.someone(|w| w.hung = until),
             Happening::Die => self.someone(|w| w.dead = true),
             Happening::Deafen { until } => self.someone(|w| w.deaf = until),
@@ -1010,6 +1044,7 @@
         match self.kv.stamp("lead") {
             Some(token) if token > self.led.0 => {
                 self.led = (token, self.now);
+                self.terms += 1;
                 self.inherited += self.records();
                 self.deliver_kept();
                 self.moment(Moment::Won);
@@ -1179,6 +1214,7 @@
             let t = &mut self.troubles;
             (t.lost, t.slow, t.held, t.copies, t.copies_next) = (0.0, false, 0.0, 0.0, 0.0);
         }
+        let Some(effect) = self.pass_cuts(actor, effect) else { return };
         match effect {
             Effect::Answer { ask, answer } => {
                 if let Answer::Beat { token, orders } = &answer {
@@ -1249,13 +1285,15 @@
             Effect::Pulse(pulse) => {
                 for other in (0..3).filter(|n| *n != node) {
                     let alone = self.alone[node].max(self.alone[other]);
-                    let reached = self.now >= self.node_cut[other].max(alone);
+                    let open = self.now >= self.node_cut[other].max(alone);
+                    let reached = open && self.peers_reach(node, other);
                     if let Some((boot, _)) = self.nodes[other].as_ref().filter(|_| reached) {
                         let (boot, event) = (*boot, Event::Pulse(pulse.clone()));
                         self.at(ms(2), Happening::ToNode { node: other, boot, event });
                     }
                 }
             }
+            Effect::Coverage(coverage) => self.tell_coverage(node, boot, coverage),
             Effect::Log(_, text) => {
                 if self.log {
                     println!("{:.3} plank-{node} {text}", (self.now - EPOCH).as_secs_f64());
@@ -1307,7 +1345,10 @@
         }
         let (now, refused, kv) = (self.now, self.refused.clone(), &self.kv);
         let cut = self.node_cut.clone();
-        let news = |w: &Watch| now >= refused[w.node].max(cut[w.node]) && kv.news(&w.prefix, w.after);
+        let watch_cut: Vec<bool> =
+            (0..3).map(|node| self.cut_of(node, cuts::Link::Watch).is_some()).collect();
+        let open = |node: usize| now >= refused[node].max(cut[node]) && !watch_cut[node];
+        let news = |w: &Watch| open(w.node) && kv.news(&w.prefix, w.after);
         let (ready, waiting): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.watches).into_iter().partition(news);
         self.watches = waiting;
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -198,6 +198,7 @@
         }
         self.at(secs(4), Happening::BeatGivenUp { host: host.clone(), tick });
         let mute = self.workers.get(&host).is_some_and(|w| now < w.mute);
+        let mute = mute || self.cut_of(node, cuts::Link::Reports).is_some();
         if mute || now < self.node_cut[node] && !self.inside(node, &host) {
             return;
         }
@@ -241,7 +242,8 @@
         let Answer::Relay { foreman } = answer else { return };
         let node: usize = foreman.trim_start_matches("plank-").parse().unwrap();
         let host = report.host.clone();
-        let reached = self.now >= self.node_cut[node].max(self.alone[node]);
+        let cut = self.cut_of(node, cuts::Link::PeersIn).is_some();
+        let reached = !cut && self.now >= self.node_cut[node].max(self.alone[node]);
         let Some((boot, _)) = self.nodes[node].as_ref().filter(|_| reached) else {
             let nobody = Answer::Elsewhere { foreman: None };
             return self.answered(Asked::Beat { host, sent, report }, nobody);
