--- a/crates/plankhead-core/src/reach.rs
+++ b/crates/plankhead-core/src/reach.rs
@@ -382,7 +382,7 @@
         }
         if now >= self.probe_due {
             self.probe_due = now + PROBE;
-            self.probe(out);
+            self.probe(now, out);
         }
     }
 
@@ -413,11 +413,11 @@
     }
 
     /// Tries links that fail and that nothing else uses.
-    fn probe(&mut self, out: &mut Out) {
-        if self.monitor.wants_probe(LinkId::StateReads) {
+    fn probe(&mut self, now: Duration, out: &mut Out) {
+        if self.monitor.wants_probe(LinkId::StateReads, now) {
             out.state(Purpose::Reach(ReachCall::Probe), StateOp::Get { key: election::KEY.into() });
         }
-        if self.monitor.wants_probe(LinkId::StateWrites) {
+        if self.monitor.wants_probe(LinkId::StateWrites, now) {
             let conditions = vec![Condition { key: election::KEY.into(), stamp: NO_REVISION }];
             let changes = vec![Change::Drop { key: election::KEY.into() }];
             out.state(Purpose::Reach(ReachCall::Probe), StateOp::Txn { conditions, changes });
--- a/crates/plankhead-reachability/src/link.rs
+++ b/crates/plankhead-reachability/src/link.rs
@@ -178,25 +178,28 @@
         (high * OVERDUE_FACTOR).clamp(LEAST_OVERDUE, MOST_OVERDUE)
     }
 
-    /// Since when a call is overdue with no confirmation since.
-    fn overdue(&self, now: Duration) -> Option<Duration> {
+    /// Since when calls are overdue with no confirmation since, and how many are.
+    fn overdue(&self, now: Duration) -> Option<(Duration, u32)> {
         let limit = self.overdue_after();
-        let oldest = self.outstanding.values().min()?;
-        // Answers to later calls show that the link carries; one call alone was lost.
-        let since = (*oldest + limit).max(self.confirmed_at.unwrap_or_default() + limit);
-        (now >= since).then_some(since)
+        let confirmed = self.confirmed_at.unwrap_or_default();
+        // Answers to later calls show that the link carries: one call alone was lost.
+        let due = |sent: &Duration| (*sent).max(confirmed) + limit;
+        let overdue = self.outstanding.values().map(due).filter(|due| *due <= now);
+        overdue.fold(None, |found: Option<(Duration, u32)>, due| {
+            let (first, count) = found.unwrap_or((due, 0));
+            Some((first.min(due), count + 1))
+        })
     }
 
     /// Judges the link; true if its condition has changed.
     pub fn judge(&mut self, now: Duration) -> bool {
         let overdue = self.overdue(now);
-        let failing = self.failing.map(|(since, _)| since);
-        let failures = self.failing.map_or(0, |(_, count)| count) + u32::from(overdue.is_some());
-        let since = [failing, overdue].into_iter().flatten().min();
+        let signs = [self.failing, overdue].into_iter().flatten();
+        let failures = signs.clone().map(|(_, count)| count).sum::<u32>();
+        let since = signs.map(|(since, _)| since).min();
         let lasts = since.is_some_and(|since| now.saturating_sub(since) >= self.down_after);
         let fresh = self.confirmed_at.is_some_and(|at| now.saturating_sub(at) < IDLE);
-        // A call without an answer for the whole time is as good as a second failure.
-        let enough = failures >= LEAST_FAILURES || overdue.is_some();
+        let enough = failures >= LEAST_FAILURES;
         let condition = match since {
             Some(_) if lasts && enough => Condition::Down,
             // A link that was down stays so until something is confirmed.
@@ -229,10 +232,10 @@
         self.round_trips.high()
     }
 
-    /// Whether a failing link has had nothing under way for so long that nothing would
-    /// show that it is back.
-    pub fn wants_probe(&self) -> bool {
-        self.failing.is_some() && self.outstanding.is_empty()
+    /// Whether a link that may have failed has too little under way to show whether it has.
+    pub fn wants_probe(&self, now: Duration) -> bool {
+        let doubtful = self.failing.is_some() || self.overdue(now).is_some();
+        doubtful && self.outstanding.len() < LEAST_FAILURES as usize
     }
 }
 
--- a/crates/plankhead-reachability/src/monitor.rs
+++ b/crates/plankhead-reachability/src/monitor.rs
@@ -249,8 +249,8 @@
     }
 
     /// Links that fail, with nothing under way that would show that they are back.
-    pub fn wants_probe(&self, id: LinkId) -> bool {
-        self.links.get(&id).is_some_and(Link::wants_probe)
+    pub fn wants_probe(&self, id: LinkId, now: Duration) -> bool {
+        self.links.get(&id).is_some_and(|link| link.wants_probe(now))
     }
 
     /// When to judge next unless something comes before.
--- a/crates/plankhead-reachability/src/settings.rs
+++ b/crates/plankhead-reachability/src/settings.rs
@@ -32,7 +32,7 @@
     fn default() -> Self {
         Self {
             enabled: false,
-            down_after: Duration::from_secs(1),
+            down_after: Duration::from_millis(1500),
             up_after: Duration::from_millis(500),
             half_life: Duration::from_secs(10),
             suppress: 2.2,
--- a/crates/plankhead/src/cli.rs
+++ b/crates/plankhead/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
-use crate::{config, driver, duties, log};
+use crate::config::{self, Files};
+use crate::{driver, duties, log, views};
 use clap::{Parser, Subcommand};
 use std::future::Future;
 use std::path::PathBuf;
@@ -23,6 +24,10 @@
     /// are not.
     #[arg(long, value_name = "FILE")]
     fencing: Option<PathBuf>,
+    /// Whether the node judges what it reaches, and how (JSON, see
+    /// reachability.schema.json). Without it it does not.
+    #[arg(long, value_name = "FILE")]
+    reachability: Option<PathBuf>,
     /// Check the settings, print every fault found, and end.
     #[arg(long)]
     check: bool,
@@ -32,6 +37,8 @@
 enum Command {
     /// List the open duties, as the state service has them.
     Duties(DutiesArgs),
+    /// Print what the controllers see of each other, and where they disagree.
+    Views(ViewsArgs),
 }
 
 #[derive(Debug, clap::Args)]
@@ -44,6 +51,13 @@
     time_zone: String,
 }
 
+#[derive(Debug, clap::Args)]
+struct ViewsArgs {
+    /// The settings file of any controller node (JSON).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+}
+
 pub fn main() -> ExitCode {
     let args = Args::parse();
     match run(args) {
@@ -59,15 +73,24 @@
 
 /// Does what the command line asks for; on failure, every fault found.
 fn run(args: Args) -> Result<(), Vec<String>> {
+    if let Some(Command::Views(asked)) = args.command {
+        let config = config::read(&Files { platform: asked.config, ..Files::default() })?;
+        print!("{}", views::table(&block_on(views::ask_all(&config))?));
+        return Ok(());
+    }
     if let Some(Command::Duties(asked)) = args.command {
-        let config = config::read(&asked.config, None, None)?;
+        let config = config::read(&Files { platform: asked.config, ..Files::default() })?;
         let table = block_on(duties::list(config.state, &asked.time_zone))?;
         let table = table.map_err(|error| vec![error.to_string()])?;
         print!("{table}");
         return Ok(());
     }
-    let platform = args.config.unwrap_or_default();
-    let config = config::read(&platform, args.operator.as_deref(), args.fencing.as_deref())?;
+    let config = config::read(&Files {
+        platform: args.config.unwrap_or_default(),
+        operator: args.operator,
+        fencing: args.fencing,
+        reachability: args.reachability,
+    })?;
     if args.check {
         println!("the settings are good");
         return Ok(());
--- a/crates/plankhead/src/config.rs
+++ b/crates/plankhead/src/config.rs
@@ -1,14 +1,14 @@
 //! The two settings files: the platform's, of which unknown fields are
 //! ignored, and the operators', which must match its schema.
 
-use crate::fencing;
+use crate::{fencing, reachability};
 use plankhead_core::settings::{Expectation, Fencing, Settings, Sizing, Team};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// The operators' settings as a schema, also for editors.
@@ -137,12 +137,23 @@
     }
 }
 
-/// Reads both files; on failure, every fault found.
-pub fn read(platform: &Path, operator: Option<&Path>, fencing: Option<&Path>) -> Result<Config, Vec<String>> {
+/// The settings files; only the platform's is needed.
+#[derive(Debug, Clone, Default)]
+pub struct Files {
+    pub platform: PathBuf,
+    pub operator: Option<PathBuf>,
+    pub fencing: Option<PathBuf>,
+    pub reachability: Option<PathBuf>,
+}
+
+/// Reads the files; on failure, every fault found.
+pub fn read(files: &Files) -> Result<Config, Vec<String>> {
     let mut faults = Vec::new();
-    let root = load(platform, &mut faults);
-    let own = operator.map(|path| load(path, &mut faults));
-    let fencing = fencing.map(|path| load(path, &mut faults));
+    let root = load(&files.platform, &mut faults);
+    let mut optional = |path: &Option<PathBuf>| path.as_ref().map(|path| load(path, &mut faults));
+    let own = optional(&files.operator);
+    let fencing = optional(&files.fencing);
+    let reachability = optional(&files.reachability);
     if !faults.is_empty() {
         return Err(faults);
     }
@@ -154,6 +165,9 @@
     if let Some(value) = fencing {
         config.core.fencing = fencing::parse(&value, &mut faults);
     }
+    if let Some(value) = reachability {
+        config.core.reachability = reachability::parse(&value, &mut faults);
+    }
     if faults.is_empty() {
         Ok(config)
     } else {
@@ -305,6 +319,7 @@
             capacity: operator.sizing.capacity,
         },
         fencing: Fencing::default(),
+        reachability: Default::default(),
     };
     Config {
         api: r.address(root, "api_addr"),
--- /dev/null
+++ b/crates/plankhead/src/coverage.rs
@@ -0,0 +1,71 @@
+//! Coverage between controllers: a message of its own, beside the heartbeat, whose bytes
+//! stay what they were. A node that does not know the path answers 404, which shows that
+//! it is there.
+
+use crate::peer::aligned;
+use plankhead_reachability::coverage::{
+    decode_bitmap, encode_bitmap, Coverage, CoverageFault, MAX_BITMAP_BYTES,
+};
+use plankhead_reachability::mode::Mode;
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// The path on the controller port.
+pub const PATH: &str = "/coverage";
+/// Two bitmaps, names, and what rkyv adds.
+pub const MAX_MESSAGE: usize = 2 * MAX_BITMAP_BYTES + 32 * 1024;
+
+#[derive(Archive, Serialize, Deserialize)]
+struct CoverageMessage {
+    host: String,
+    boot: u64,
+    sequence: u64,
+    token: u64,
+    mode: u8,
+    numbering: u64,
+    heard: Vec<u8>,
+    reached: Vec<u8>,
+    expected: u32,
+    peers: Vec<String>,
+    successor: Option<String>,
+}
+
+pub fn encode(coverage: &Coverage) -> Option<Vec<u8>> {
+    let message = CoverageMessage {
+        host: coverage.host.clone(),
+        boot: coverage.boot,
+        sequence: coverage.sequence,
+        token: coverage.token,
+        mode: coverage.mode.code(),
+        numbering: coverage.numbering,
+        heard: encode_bitmap(&coverage.heard),
+        reached: encode_bitmap(&coverage.reached),
+        expected: coverage.expected,
+        peers: coverage.peers.clone(),
+        successor: coverage.successor.clone(),
+    };
+    rkyv::to_bytes::<rkyv::rancor::Error>(&message).ok().map(|bytes| bytes.to_vec())
+}
+
+/// Reads a message, or says what is wrong with it.
+pub fn decode(bytes: &[u8]) -> Result<Coverage, CoverageFault> {
+    if bytes.len() > MAX_MESSAGE {
+        return Err(CoverageFault::TooLarge);
+    }
+    let malformed = |error: rkyv::rancor::Error| CoverageFault::Malformed(error.to_string());
+    let message = rkyv::from_bytes::<CoverageMessage, rkyv::rancor::Error>(&aligned(bytes));
+    let message = message.map_err(malformed)?;
+    let mode = Mode::from_code(message.mode);
+    Ok(Coverage {
+        host: message.host,
+        boot: message.boot,
+        sequence: message.sequence,
+        token: message.token,
+        mode: mode.ok_or_else(|| CoverageFault::Malformed("it has an unknown mode".into()))?,
+        numbering: message.numbering,
+        heard: decode_bitmap(&message.heard)?,
+        reached: decode_bitmap(&message.reached)?,
+        expected: message.expected,
+        peers: message.peers,
+        successor: message.successor,
+    })
+}
--- a/crates/plankhead/src/driver.rs
+++ b/crates/plankhead/src/driver.rs
@@ -5,10 +5,11 @@
 use crate::config::Config;
 use crate::http::{self, Client, Reply};
 use crate::peer::{self, Sibling};
-use crate::{api, cloud, log, state, wire};
+use crate::{api, cloud, coverage, log, state, wire};
 use plankhead_core::job::{JobId, JobSpec};
 use plankhead_core::node::{Node, Times};
 use plankhead_core::protocol::{Answer, Ask, Effect, Event, Report};
+use plankhead_reachability::coverage::Coverage;
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -211,10 +212,23 @@
                     }
                 }
             }
+            Effect::Coverage(message) => self.tell_coverage(&message),
             Effect::Log(level, text) => log::emit(level, &text),
         }
     }
 
+    /// Tells every sibling of this node's reach; whether each answers comes back.
+    fn tell_coverage(&self, message: &Coverage) {
+        let Some(bytes) = coverage::encode(message) else { return };
+        for (host, sibling) in self.siblings.iter() {
+            let (host, sibling, bytes) = (host.clone(), sibling.clone(), bytes.clone());
+            self.spawn(async move {
+                let confirmed = sibling.tell_coverage(bytes).await;
+                Event::PeerTold { host, confirmed }
+            });
+        }
+    }
+
     /// Makes a call; its reply comes back as a command, however long the queue.
     fn spawn(&self, call: impl std::future::Future<Output = Event> + Send + 'static) {
         let queue = self.queue.clone();
--- a/crates/plankhead/src/lib.rs
+++ b/crates/plankhead/src/lib.rs
@@ -9,13 +9,16 @@
 pub mod cli;
 pub mod cloud;
 pub mod config;
+pub mod coverage;
 pub mod driver;
 pub mod duties;
 pub mod fencing;
 pub mod http;
 pub mod log;
 pub mod peer;
+pub mod reachability;
 pub mod state;
 #[cfg(test)]
 mod tests;
+pub mod views;
 pub mod wire;
--- a/crates/plankhead/src/peer.rs
+++ b/crates/plankhead/src/peer.rs
@@ -3,7 +3,7 @@
 
 use crate::driver::{Command, Handle, Request as Ask};
 use crate::http::{self, Client, Reply};
-use crate::wire;
+use crate::{coverage, wire};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use plankhead_core::node::MOST_PROGRESS_READ;
@@ -71,7 +71,7 @@
 }
 
 /// The archive must lie aligned in memory.
-fn aligned(bytes: &[u8]) -> rkyv::util::AlignedVec<16> {
+pub(crate) fn aligned(bytes: &[u8]) -> rkyv::util::AlignedVec<16> {
     let mut aligned = rkyv::util::AlignedVec::with_capacity(bytes.len());
     aligned.extend_from_slice(bytes);
     aligned
@@ -136,6 +136,12 @@
         }
     }
 
+    /// Sends coverage, and tells whether the sibling answered: a version that does not know
+    /// the path answers, too.
+    pub async fn tell_coverage(&self, bytes: Vec<u8>) -> bool {
+        self.client.call(Method::POST, coverage::PATH, bytes, PATIENCE).await.is_ok()
+    }
+
     /// Sends a pulse, unless the one before is still on its way.
     pub fn tell(self: &Arc<Self>, bytes: Vec<u8>) {
         if self.busy.swap(true, Ordering::Relaxed) {
@@ -165,6 +171,20 @@
                 Err(_) => Reply::error(503, "too much to do"),
             }
         }
+        (Method::POST, coverage::PATH) => {
+            let told = match http::body(request, coverage::MAX_MESSAGE).await {
+                Ok(body) => coverage::decode(&body).map(Box::new),
+                Err(reply) => return reply,
+            };
+            let fault = told.as_ref().err().map(ToString::to_string);
+            if handle.send(Command::Event(Event::Coverage(told))).is_err() {
+                return Reply::error(503, "too much to do");
+            }
+            match fault {
+                Some(fault) => Reply::error(400, &fault),
+                None => Reply { status: 200, body: Vec::new(), retry: None },
+            }
+        }
         (Method::POST, "/relay") => {
             let body = match http::body(request, MOST_RELAY).await {
                 Ok(body) => body,
@@ -181,7 +201,7 @@
             }
         }
         (Method::GET, "/view") => handle.ask(Ask::View).await,
-        (_, "/pulse" | "/relay" | "/view") => Reply::error(405, "wrong method"),
+        (_, "/pulse" | coverage::PATH | "/relay" | "/view") => Reply::error(405, "wrong method"),
         _ => Reply::error(404, "no such path"),
     }
 }
--- /dev/null
+++ b/crates/plankhead/src/reachability.rs
@@ -0,0 +1,78 @@
+//! The operators' file that switches reachability on.
+
+use crate::config;
+use plankhead_reachability::settings::Settings;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::time::Duration;
+
+/// The file as a schema, also for editors.
+pub const SCHEMA: &str = include_str!("../reachability.schema.json");
+
+/// Whether and how a node judges what it reaches.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(test, derive(schemars::JsonSchema))]
+#[serde(deny_unknown_fields, default)]
+pub struct ReachabilityFile {
+    /// Whether links are judged, and actions permitted by what they show.
+    pub enabled: bool,
+    /// Milliseconds that a link must fail without a confirmation to be down.
+    #[cfg_attr(test, schemars(range(min = 200, max = 60_000)))]
+    pub down_after_ms: u64,
+    /// Milliseconds that a side which was down must hold to be up.
+    #[cfg_attr(test, schemars(range(min = 0, max = 60_000)))]
+    pub up_after_ms: u64,
+    /// Milliseconds in which the penalty of a flapping side falls to half.
+    #[cfg_attr(test, schemars(range(min = 100, max = 3_600_000)))]
+    pub half_life_ms: u64,
+    /// Penalty, in failures, at which a flapping side is suppressed.
+    #[cfg_attr(test, schemars(range(min = 1.1, max = 100.0)))]
+    pub suppress: f64,
+    /// Penalty at which a suppressed side is used again.
+    #[cfg_attr(test, schemars(range(min = 0.1, max = 1.0)))]
+    pub reuse: f64,
+    /// Milliseconds between two messages of coverage.
+    #[cfg_attr(test, schemars(range(min = 200, max = 2_500)))]
+    pub coverage_interval_ms: u64,
+    /// Milliseconds that another node must be better placed before a leader hands over.
+    #[cfg_attr(test, schemars(range(min = 0, max = 600_000)))]
+    pub handover_after_ms: u64,
+    /// Milliseconds that a leader leads at the least before it hands over.
+    #[cfg_attr(test, schemars(range(min = 0, max = 600_000)))]
+    pub least_tenure_ms: u64,
+}
+
+impl Default for ReachabilityFile {
+    fn default() -> Self {
+        let core = Settings::default();
+        let ms = |time: Duration| time.as_millis() as u64;
+        Self {
+            enabled: core.enabled,
+            down_after_ms: ms(core.down_after),
+            up_after_ms: ms(core.up_after),
+            half_life_ms: ms(core.half_life),
+            suppress: core.suppress,
+            reuse: core.reuse,
+            coverage_interval_ms: ms(core.coverage_interval),
+            handover_after_ms: ms(core.handover_after),
+            least_tenure_ms: ms(core.least_tenure),
+        }
+    }
+}
+
+/// Checks the file against its schema, then reads it.
+pub fn parse(value: &Value, faults: &mut Vec<String>) -> Settings {
+    let file: ReachabilityFile = config::parse_checked("reachability settings", SCHEMA, value, faults);
+    Settings {
+        enabled: file.enabled,
+        down_after: Duration::from_millis(file.down_after_ms),
+        up_after: Duration::from_millis(file.up_after_ms),
+        half_life: Duration::from_millis(file.half_life_ms),
+        suppress: file.suppress,
+        reuse: file.reuse,
+        coverage_interval: Duration::from_millis(file.coverage_interval_ms),
+        handover_after: Duration::from_millis(file.handover_after_ms),
+        least_tenure: Duration::from_millis(file.least_tenure_ms),
+        ..Settings::default()
+    }
+}
--- a/crates/plankhead/src/tests/mod.rs
+++ b/crates/plankhead/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod driver;
 mod duties;
 mod messages;
+mod reachability;
 mod service;
 mod settings;
 mod standins;
--- /dev/null
+++ b/crates/plankhead/src/tests/reachability.rs
@@ -0,0 +1,132 @@
+//! The message of coverage on the wire, the operators' file, and the table of views.
+
+use crate::coverage::{decode, encode, MAX_MESSAGE};
+use crate::reachability::{parse, ReachabilityFile, SCHEMA};
+use crate::views::{disagreements, read, table, NodeView, Views};
+use plankhead_reachability::coverage::{Coverage, CoverageFault};
+use plankhead_reachability::mode::Mode;
+use plankhead_reachability::settings::Settings;
+use serde_json::{json, Value};
+
+fn coverage() -> Coverage {
+    Coverage {
+        host: "plank-1".into(),
+        boot: 7,
+        sequence: 3,
+        token: 41,
+        mode: Mode::StateOnly,
+        numbering: 99,
+        heard: (0..4_000).collect(),
+        reached: (0..4_000).step_by(2).collect(),
+        expected: 4_000,
+        peers: vec!["plank-0".into()],
+        successor: Some("plank-2".into()),
+    }
+}
+
+#[test]
+fn coverage_of_four_thousand_machines_passes_the_wire() {
+    let bytes = encode(&coverage()).unwrap();
+    assert!(bytes.len() < 10_000, "{} bytes", bytes.len());
+    assert_eq!(decode(&bytes), Ok(coverage()));
+}
+
+#[test]
+fn bad_messages_are_refused() {
+    let bytes = encode(&coverage()).unwrap();
+    for length in (0..bytes.len()).step_by(7) {
+        assert!(decode(&bytes[..length]).is_err(), "{length} bytes");
+    }
+    assert_eq!(decode(&vec![0; MAX_MESSAGE + 1]), Err(CoverageFault::TooLarge));
+    // Whatever is changed on the way, it is read or refused, and never a crash.
+    for at in 0..bytes.len() {
+        let mut changed = bytes.clone();
+        changed[at] ^= 0x55;
+        let _ = decode(&changed);
+    }
+}
+
+#[test]
+fn schema_is_current() {
+    let made = serde_json::to_string_pretty(&schemars::schema_for!(ReachabilityFile)).unwrap() + "\n";
+    if std::env::var_os("PLANKHEAD_WRITE_SCHEMA").is_some() {
+        std::fs::write(concat!(env!("CARGO_MANIFEST_DIR"), "/reachability.schema.json"), &made).unwrap();
+        return;
+    }
+    assert_eq!(SCHEMA, made, "run the tests once with PLANKHEAD_WRITE_SCHEMA=1");
+}
+
+#[test]
+fn every_fault_of_the_file_is_named() {
+    let faults = |value: Value| {
+        let mut faults = Vec::new();
+        let settings = parse(&value, &mut faults);
+        (faults, settings)
+    };
+    assert_eq!(faults(json!({})), (Vec::new(), Settings::default()));
+    let deployed = include_str!("../../../../deploy/reachability.json");
+    let (none, settings) = faults(serde_json::from_str(deployed).unwrap());
+    assert_eq!(none, Vec::<String>::new());
+    assert_eq!(settings, Settings { enabled: true, ..Settings::default() });
+    let (bad, _) = faults(json!({"enabled": 1, "down_after_ms": 0, "reuse": 7, "flaps": true}));
+    assert_eq!(bad.len(), 4, "{bad:?}");
+    for part in ["/enabled", "/down_after_ms", "/reuse", "flaps"] {
+        assert!(bad.iter().any(|fault| fault.contains(part)), "{part} in {bad:?}");
+    }
+}
+
+fn view(leader: &str, hears: &[(&str, bool)]) -> Option<NodeView> {
+    Some(NodeView {
+        mode: "whole".into(),
+        leader: Some(leader.into()),
+        hears: hears.iter().map(|(host, hears)| ((*host).into(), *hears)).collect(),
+        ..NodeView::default()
+    })
+}
+
+#[test]
+fn views_that_contradict_each_other_are_told() {
+    let agree: Views = [
+        ("plank-0".into(), view("plank-0", &[("plank-1", true)])),
+        ("plank-1".into(), view("plank-0", &[("plank-0", true)])),
+    ]
+    .into();
+    assert_eq!(disagreements(&agree), Vec::<String>::new());
+    assert!(table(&agree).ends_with("the views agree\n"));
+    let differ: Views = [
+        ("plank-0".into(), view("plank-0", &[("plank-1", false), ("plank-2", true)])),
+        ("plank-1".into(), view("plank-2", &[("plank-0", true)])),
+        ("plank-2".into(), None),
+    ]
+    .into();
+    assert_eq!(
+        disagreements(&differ),
+        [
+            "plank-0 say that plank-0 leads",
+            "plank-1 say that plank-2 leads",
+            "plank-0 does not hear plank-1, which hears plank-0",
+            "plank-0 hears plank-2, which did not answer",
+        ]
+    );
+    assert!(table(&differ).contains("plank-2          does not answer"));
+}
+
+#[test]
+fn a_view_is_read_with_and_without_reachability() {
+    let with = json!({"host": "plank-0", "leader": null, "foreman": "plank-1", "siblings": [],
+        "reachability": {"mode": "state-only", "sinceS": 4.5, "heard": 3, "links": [
+            {"link": "reportsIn", "peer": null, "condition": "down"},
+            {"link": "peerIn", "peer": "plank-1", "condition": "down"},
+            {"link": "peerIn", "peer": "plank-2", "condition": "up"}]}});
+    let read_view = read(&with);
+    assert_eq!((read_view.mode.as_str(), read_view.since_s, read_view.heard), ("state-only", 4.5, 3));
+    assert_eq!(read_view.leader.as_deref(), Some("plank-1"));
+    assert_eq!(read_view.down, ["reportsIn", "peerIn plank-1"]);
+    assert_eq!(read_view.hears, [("plank-1".into(), false), ("plank-2".into(), true)].into());
+    let without = json!({"host": "plank-0", "leader": {}, "reachability": null,
+        "siblings": [{"host": "plank-1", "heardS": 0.4}, {"host": "plank-2", "heardS": 9.0}]});
+    let read_view = read(&without);
+    assert_eq!(read_view.mode, "not judged");
+    assert_eq!(read_view.leader.as_deref(), Some("plank-0"));
+    assert_eq!(read_view.hears, [("plank-1".into(), true), ("plank-2".into(), false)].into());
+}
