--- a/crates/plankhead-standins/src/cuts.rs
+++ b/crates/plankhead-standins/src/cuts.rs
@@ -180,7 +180,15 @@
     while counts.jobs_over() < load.jobs && Instant::now() < end {
         tokio::time::sleep(LOOK).await;
     }
+    let ended = running.ended();
+    if !ended.is_empty() {
+        return Err(std::io::Error::other(format!("the processes of nodes {ended:?} ended")));
+    }
     running.stop();
-    let verdict = finals::check(&history.all(), Duration::from_secs_f64(load.cancel_s));
+    let mut verdict = finals::check(&history.all(), Duration::from_secs_f64(load.cancel_s));
+    let missing = (load.jobs as usize).saturating_sub(verdict.accepted);
+    if missing > 0 {
+        verdict.faults.push(format!("{missing} jobs were never accepted"));
+    }
     Ok(Outcome { verdict, cuts: cuts.cuts, mode_changes: cluster.count_logged(" sees ") })
 }
--- a/crates/plankhead-standins/src/freeze.rs
+++ b/crates/plankhead-standins/src/freeze.rs
@@ -93,6 +93,10 @@
         pause_once(&running, &state, &cloud, pauses, &mut random).await;
     }
     tokio::time::sleep(COOL_DOWN).await;
+    let ended = running.ended();
+    if !ended.is_empty() {
+        return Err(std::io::Error::other(format!("the processes of nodes {ended:?} ended")));
+    }
     running.stop();
     let (history, effects) = (state.history(), cloud.effects());
     Ok(Outcome {
--- a/crates/plankhead-standins/src/nodes.rs
+++ b/crates/plankhead-standins/src/nodes.rs
@@ -3,6 +3,7 @@
 use crate::{users, workers, Load};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use rand::RngExt;
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -43,8 +44,17 @@
     peak_kb: u64,
 }
 
+/// Below the ports that the system gives to connections, which took planned ones before
+/// the processes had bound them: those ended at once, and runs went on without them.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+/// Ports that are tried at the most.
+const MOST_TRIES: usize = 1_000;
+
 fn free() -> std::io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    let mut random = rand::rng();
+    let drawn = (0..MOST_TRIES).map(|_| SocketAddr::from(([127, 0, 0, 1], random.random_range(PORTS))));
+    let mut unused = drawn.filter(|address| TcpListener::bind(address).is_ok());
+    unused.next().ok_or_else(|| std::io::Error::other("no port is free"))
 }
 
 impl Cluster {
@@ -140,6 +150,12 @@
 }
 
 impl Running {
+    /// Nodes whose processes have ended by themselves.
+    pub fn ended(&mut self) -> Vec<usize> {
+        let over = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
+        (0..).zip(&mut self.0).filter_map(|(node, child)| over(child).then_some(node)).collect()
+    }
+
     pub fn len(&self) -> usize {
         self.0.len()
     }
