--- a/crates/plankhead-core/src/reach.rs
+++ b/crates/plankhead-core/src/reach.rs
@@ -25,8 +25,9 @@
 const NUMBERING_RETRY: Duration = Duration::from_secs(2);
 /// Time between two looks for machines without a number.
 const NUMBERING_LOOK: Duration = Duration::from_secs(2);
-/// A failing link without traffic is tried this often.
-const PROBE: Duration = Duration::from_secs(1);
+/// A failing link without traffic is tried this often: while changes are not taken, users'
+/// jobs are refused, so that nothing else would show that they are.
+const PROBE: Duration = Duration::from_millis(250);
 /// No key ever has this revision: a change under that condition is refused, and shows that
 /// changes are taken.
 const NO_REVISION: u64 = u64::MAX / 2;
--- a/crates/plankhead-reachability/src/link.rs
+++ b/crates/plankhead-reachability/src/link.rs
@@ -22,6 +22,10 @@
 const SILENCE_FACTOR: f64 = 1.5;
 /// Failures in a row without which no link is down: one may be anybody's.
 const LEAST_FAILURES: u32 = 2;
+/// Calls under way on a link that is down, beyond which it is not probed.
+const MAX_PROBES: usize = 8;
+/// A link that is in doubt is probed once nothing was sent over it for so long.
+const QUIET: Duration = Duration::from_secs(1);
 /// A link without any confirmation for so long is unknown again.
 pub const IDLE: Duration = Duration::from_secs(10);
 
@@ -101,6 +105,8 @@
     failing: Option<(Duration, u32)>,
     /// Calls under way, by number, and when they were sent.
     outstanding: BTreeMap<u64, Duration>,
+    /// When a call went out last.
+    sent_at: Option<Duration>,
     round_trips: Latency,
     condition: Condition,
     since: Duration,
@@ -114,6 +120,7 @@
             confirmed_at: None,
             failing: None,
             outstanding: BTreeMap::new(),
+            sent_at: None,
             round_trips: Latency::new(ROUND_TRIPS),
             condition: Condition::Unknown,
             since: now,
@@ -123,6 +130,7 @@
 
     /// A call went out, whose answer will confirm the link.
     pub fn sent(&mut self, call: u64, now: Duration) {
+        self.sent_at = Some(now);
         if self.outstanding.len() < MAX_OUTSTANDING {
             self.outstanding.insert(call, now);
         }
@@ -235,7 +243,12 @@
     /// Whether a link that may have failed has too little under way to show whether it has.
     pub fn wants_probe(&self, now: Duration) -> bool {
         let doubtful = self.failing.is_some() || self.overdue(now).is_some();
-        doubtful && self.outstanding.len() < LEAST_FAILURES as usize
+        // While it is down the end should be seen soon, whatever is stuck in connections.
+        if self.condition == Condition::Down {
+            return doubtful && self.outstanding.len() < MAX_PROBES;
+        }
+        let quiet = self.sent_at.is_none_or(|at| now.saturating_sub(at) >= QUIET);
+        doubtful && quiet && self.outstanding.len() < LEAST_FAILURES as usize
     }
 }
 
