--- a/crates/plankhead/tests/cuts.rs
+++ b/crates/plankhead/tests/cuts.rs
@@ -72,7 +72,7 @@
     assert_eq!(faults(&[accepted.clone(), done.clone()]), ["a is done with 0 of 1 tasks"]);
     let twice = [accepted.clone(), started.clone(), (2, ran(2, Run::Started)), ended, done.clone()];
     assert_eq!(faults(&twice), ["a/0 ran on {1, 2} at a time"]);
-    let both = [&sound[..], &[cancelled.clone()]].concat();
+    let both = [&sound[..], std::slice::from_ref(&cancelled)].concat();
     assert_eq!(faults(&both), ["a was Done and then Cancelled"]);
     let back = [&sound[..], &[(4, told("a", Status::Accepted))]].concat();
     assert_eq!(faults(&back), ["a was Done and then Accepted"]);
