--- a/crates/plankhead-core/src/reach.rs
+++ b/crates/plankhead-core/src/reach.rs
@@ -215,6 +215,10 @@
         if relayed {
             return;
         }
+        if self.heard.is_empty() {
+            // Workers begin to come here: their leader may not hear them.
+            self.coverage_due = now;
+        }
         let remembered = self.heard.len() < MAX_HEARD;
         if let Some(at) = self.heard.get_mut(host) {
             *at = now;
--- a/crates/plankhead-reachability/src/handover.rs
+++ b/crates/plankhead-reachability/src/handover.rs
@@ -31,6 +31,13 @@
     pub state_suppressed: bool,
 }
 
+impl OwnView {
+    /// It hears no machine at all.
+    fn is_blind(&self) -> bool {
+        self.mode == Mode::StateOnly && self.heard == 0
+    }
+}
+
 /// Another node that could lead.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -47,7 +54,7 @@
     if own.state_suppressed {
         return Some(best);
     }
-    let blind = own.mode == Mode::StateOnly && own.heard == 0;
+    let blind = own.is_blind();
     let hears_more = best.heard >= own.heard * BETTER_FACTOR + BETTER_BY;
     let most_elsewhere = own.heard * BETTER_FACTOR < own.expected;
     ((blind && best.heard > 0) || (hears_more && most_elsewhere)).then_some(best)
@@ -97,7 +104,8 @@
             _ => now,
         };
         self.better = Some((best.host.clone(), since));
-        let steady = now.saturating_sub(since) >= self.handover_after;
+        // A blind leader has been silent for long enough by then: whoever hears is better.
+        let steady = own.is_blind() || now.saturating_sub(since) >= self.handover_after;
         let served = now.saturating_sub(leads_since) >= self.tenure(now);
         if !(steady && served) {
             return None;
