--- a/crates/plankhead-reachability/src/link.rs
+++ b/crates/plankhead-reachability/src/link.rs
@@ -90,6 +90,28 @@
     }
 }
 
+/// What a link was last judged to be, and since when.
+#[derive(Debug, Clone, Copy)]
+struct Judgement {
+    condition: Condition,
+    since: Duration,
+}
+
+impl Judgement {
+    fn new(now: Duration) -> Self {
+        Self { condition: Condition::Unknown, since: now }
+    }
+
+    /// Takes in the present condition; true if it is another.
+    fn set(&mut self, condition: Condition, now: Duration) -> bool {
+        let changed = condition != self.condition;
+        if changed {
+            *self = Self { condition, since: now };
+        }
+        changed
+    }
+}
+
 /// Counts of one link since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LinkCounts {
@@ -108,8 +130,7 @@
     /// When a call went out last.
     sent_at: Option<Duration>,
     round_trips: Latency,
-    condition: Condition,
-    since: Duration,
+    judgement: Judgement,
     counts: LinkCounts,
 }
 
@@ -122,8 +143,7 @@
             outstanding: BTreeMap::new(),
             sent_at: None,
             round_trips: Latency::new(ROUND_TRIPS),
-            condition: Condition::Unknown,
-            since: now,
+            judgement: Judgement::new(now),
             counts: LinkCounts::default(),
         }
     }
@@ -211,25 +231,20 @@
         let condition = match since {
             Some(_) if lasts && enough => Condition::Down,
             // A link that was down stays so until something is confirmed.
-            Some(_) if self.condition == Condition::Down => Condition::Down,
+            Some(_) if self.judgement.condition == Condition::Down => Condition::Down,
             Some(_) => Condition::Suspect,
             None if fresh => Condition::Up,
             None => Condition::Unknown,
         };
-        let changed = condition != self.condition;
-        if changed {
-            self.condition = condition;
-            self.since = now;
-        }
-        changed
+        self.judgement.set(condition, now)
     }
 
     pub fn condition(&self) -> Condition {
-        self.condition
+        self.judgement.condition
     }
 
     pub fn since(&self) -> Duration {
-        self.since
+        self.judgement.since
     }
 
     pub fn counts(&self) -> LinkCounts {
@@ -244,7 +259,7 @@
     pub fn wants_probe(&self, now: Duration) -> bool {
         let doubtful = self.failing.is_some() || self.overdue(now).is_some();
         // While it is down the end should be seen soon, whatever is stuck in connections.
-        if self.condition == Condition::Down {
+        if self.judgement.condition == Condition::Down {
             return doubtful && self.outstanding.len() < MAX_PROBES;
         }
         let quiet = self.sent_at.is_none_or(|at| now.saturating_sub(at) >= QUIET);
@@ -262,8 +277,7 @@
     gaps: Latency,
     /// Since when something should arrive.
     expected_since: Option<Duration>,
-    condition: Condition,
-    since: Duration,
+    judgement: Judgement,
     count: u64,
 }
 
@@ -275,8 +289,7 @@
             last: None,
             gaps: Latency::new(most_silence * GAP_WINDOW),
             expected_since: None,
-            condition: Condition::Unknown,
-            since: now,
+            judgement: Judgement::new(now),
             count: 0,
         }
     }
@@ -325,20 +338,15 @@
             Some(quiet) if quiet < IDLE && self.count > 0 => Condition::Up,
             _ => Condition::Unknown,
         };
-        let changed = condition != self.condition;
-        if changed {
-            self.condition = condition;
-            self.since = now;
-        }
-        changed
+        self.judgement.set(condition, now)
     }
 
     pub fn condition(&self) -> Condition {
-        self.condition
+        self.judgement.condition
     }
 
     pub fn since(&self) -> Duration {
-        self.since
+        self.judgement.since
     }
 
     pub fn counts(&self) -> LinkCounts {
