--- a/crates/plankhead-standins/src/bin/load.rs
+++ b/crates/plankhead-standins/src/bin/load.rs
@@ -8,6 +8,7 @@
 //! not a simulation: nothing fails, and a process has a whole core.
 
 use clap::Parser;
+use plankhead_standins::finals::History;
 use plankhead_standins::{cloud, counts, nodes, state, users, workers, Load};
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,11 +33,19 @@
     let (state_address, state) = state::start(counts.clone()).await?;
     let cluster = nodes::Cluster::plan(load, state_address)?;
     let workload = Arc::new(users::Workload::default());
-    let workers =
-        workers::Workers::start(load, cluster.api_addresses(), workload.clone(), counts.clone()).await?;
+    let history = Arc::new(History::default());
+    let workers = workers::Workers::start(
+        load,
+        cluster.api_addresses(),
+        workload.clone(),
+        counts.clone(),
+        history.clone(),
+        None,
+    )
+    .await?;
     cloud::start(&cluster.cloud_addresses, load, workers, state).await?;
     let mut running = cluster.start(load)?;
-    tokio::spawn(users::run(load.clone(), cluster.api_addresses(), workload, counts.clone()));
+    tokio::spawn(users::run(load.clone(), cluster.api_addresses(), workload, counts.clone(), history));
     tokio::time::sleep(Duration::from_secs(args.warmup_s)).await;
     let (counted, used) = (counts.read(), running.usage());
     tokio::time::sleep(Duration::from_secs(args.seconds)).await;
--- /dev/null
+++ b/crates/plankhead-standins/src/cuts.rs
@@ -0,0 +1,186 @@
+//! Cuts single links of real controller processes, one direction at a time, and checks
+//! that every job reached exactly one final answer.
+
+use crate::counts::Counts;
+use crate::finals::{self, History, Verdict};
+use crate::nodes::{Cluster, Route};
+use crate::proxy::{Direction, Fault, Proxy};
+use crate::{users, workers, Load};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Until the first cut: the cluster elects a leader and rents its first machines.
+const WARM_UP: Duration = Duration::from_secs(6);
+/// How often it is looked whether all jobs are over.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// How links are cut.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Cuts {
+    /// How many, one after the other; each of one to three links.
+    #[arg(long, default_value_t = 50)]
+    pub cuts: u32,
+    /// The seed of what is cut, how and for how long.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Seconds that a cut lasts at the most.
+    #[arg(long, default_value_t = 6.0)]
+    pub longest_s: f64,
+    /// Seconds after the last cut until every job must be over.
+    #[arg(long, default_value_t = 120.0)]
+    pub patience_s: f64,
+    /// Links that flap for the whole time, at this period in seconds; 0: none do.
+    #[arg(long, default_value_t = 0.0)]
+    pub flap_s: f64,
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Outcome {
+    pub verdict: Verdict,
+    pub cuts: u32,
+    /// Changes of mode that the nodes logged.
+    pub mode_changes: usize,
+}
+
+/// The proxies of one node: what it calls, and what calls it.
+#[derive(Debug)]
+struct NodeLinks {
+    state: Proxy,
+    cloud: Proxy,
+    /// To each other node; to itself unused.
+    peers: Vec<Proxy>,
+    /// Forward: reports; backward: the answers to them.
+    reports: Proxy,
+}
+
+#[derive(Debug)]
+struct Links {
+    nodes: Vec<NodeLinks>,
+    commands: Vec<Proxy>,
+}
+
+impl Links {
+    async fn start(cluster: &Cluster) -> std::io::Result<Self> {
+        let mut nodes = Vec::new();
+        for (route, api) in cluster.routes().iter().zip(cluster.api_addresses()) {
+            let mut peers = Vec::new();
+            for peer in &route.peers {
+                peers.push(Proxy::start(*peer).await?);
+            }
+            nodes.push(NodeLinks {
+                state: Proxy::start(route.state).await?,
+                cloud: Proxy::start(route.cloud).await?,
+                peers,
+                reports: Proxy::start(api).await?,
+            });
+        }
+        Ok(Self { nodes, commands: Vec::new() })
+    }
+
+    fn routes(&self) -> Vec<Route> {
+        let route = |node: &NodeLinks| Route {
+            state: node.state.address,
+            cloud: node.cloud.address,
+            peers: node.peers.iter().map(|peer| peer.address).collect(),
+        };
+        self.nodes.iter().map(route).collect()
+    }
+
+    /// The proxies of one kind of link of a node.
+    fn of(&self, node: usize, kind: u32) -> Vec<&Proxy> {
+        let links = &self.nodes[node];
+        match kind {
+            0 | 1 => vec![&links.state],
+            2 => vec![&links.reports],
+            3 => vec![&self.commands[node]],
+            4 => links.peers.iter().collect(),
+            5 => self.nodes.iter().map(|other| &other.peers[node]).collect(),
+            _ => vec![&links.cloud],
+        }
+    }
+
+    fn heal(&self) {
+        for node in &self.nodes {
+            let single = [&node.state, &node.cloud, &node.reports];
+            node.peers.iter().chain(single).for_each(|proxy| proxy.set(Fault::None));
+        }
+        self.commands.iter().for_each(|proxy| proxy.set(Fault::None));
+    }
+}
+
+fn draw_fault(random: &mut StdRng) -> Fault {
+    let direction = [Direction::Forward, Direction::Backward, Direction::Both][random.random_range(0..3)];
+    match random.random_range(0..5) {
+        0 | 1 => Fault::Stall(direction),
+        2 => Fault::Refuse,
+        3 => Fault::Delay(direction, Duration::from_millis(random.random_range(200..2_500))),
+        _ => Fault::Drip(direction, Duration::from_millis(random.random_range(20..200))),
+    }
+}
+
+/// Cuts one to three links of one node, and heals them.
+async fn cut_once(links: &Links, cuts: &Cuts, random: &mut StdRng) {
+    let node = random.random_range(0..links.nodes.len());
+    for _ in 0..random.random_range(1..=3) {
+        let (kind, fault) = (random.random_range(0..7), draw_fault(random));
+        links.of(node, kind).into_iter().for_each(|proxy| proxy.set(fault));
+    }
+    let length = random.random_range(0.3..=cuts.longest_s.max(0.4));
+    tokio::time::sleep(Duration::from_secs_f64(length)).await;
+    if random.random_bool(0.3) {
+        links.nodes[node].state.set(Fault::Reset);
+    }
+    links.heal();
+    tokio::time::sleep(Duration::from_millis(random.random_range(100..3_000))).await;
+}
+
+/// The state link of one node after the other goes and comes.
+async fn flap(links: &Links, cuts: &Cuts) {
+    let half = Duration::from_secs_f64(cuts.flap_s / 2.0);
+    for n in 0..cuts.cuts as usize {
+        let node = &links.nodes[n / 8 % links.nodes.len()];
+        node.state.set(Fault::Stall(Direction::Both));
+        tokio::time::sleep(half).await;
+        links.heal();
+        tokio::time::sleep(half).await;
+    }
+}
+
+/// Runs a cluster under load through proxies, cuts them, and checks what came of the jobs.
+pub async fn run(load: &Load, cuts: &Cuts) -> std::io::Result<Outcome> {
+    let counts = Arc::new(Counts::default());
+    let history = Arc::new(History::default());
+    let (state_address, state) = crate::state::start(counts.clone()).await?;
+    let mut cluster = Cluster::plan(load, state_address)?;
+    let mut links = Links::start(&cluster).await?;
+    cluster.set_routes(links.routes());
+    let workload = Arc::new(users::Workload::default());
+    let reports = links.nodes.iter().map(|node| node.reports.address).collect();
+    let commands = Some(&mut links.commands);
+    let (counting, keeping) = (counts.clone(), history.clone());
+    let workers =
+        workers::Workers::start(load, reports, workload.clone(), counting, keeping, commands).await?;
+    crate::cloud::start(&cluster.cloud_addresses, load, workers, state).await?;
+    let mut running = cluster.start(load)?;
+    let users = users::run(load.clone(), cluster.api_addresses(), workload, counts.clone(), history.clone());
+    tokio::spawn(users);
+    tokio::time::sleep(WARM_UP).await;
+    let mut random = StdRng::seed_from_u64(cuts.seed);
+    if cuts.flap_s > 0.0 {
+        flap(&links, cuts).await;
+    } else {
+        for _ in 0..cuts.cuts {
+            cut_once(&links, cuts, &mut random).await;
+        }
+    }
+    let end = Instant::now() + Duration::from_secs_f64(cuts.patience_s);
+    while counts.jobs_over() < load.jobs && Instant::now() < end {
+        tokio::time::sleep(LOOK).await;
+    }
+    running.stop();
+    let verdict = finals::check(&history.all(), Duration::from_secs_f64(load.cancel_s));
+    Ok(Outcome { verdict, cuts: cuts.cuts, mode_changes: cluster.count_logged(" sees ") })
+}
--- /dev/null
+++ b/crates/plankhead-standins/src/finals.rs
@@ -0,0 +1,138 @@
+//! Whether every job reached exactly one final answer, by what users were told and what
+//! the workers ran. The check calls nothing of the code under test.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// What a user was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    Accepted,
+    Done,
+    Cancelled,
+    NotFound,
+}
+
+/// What a worker did with an attempt of a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Run {
+    Started,
+    Done,
+    /// Stopped, or gone with its lease or its machine.
+    Stopped,
+}
+
+#[derive(Debug, Clone)]
+pub enum Happened {
+    /// `tasks`: how many the job has, as its user knows.
+    Told {
+        job: String,
+        tasks: u64,
+        status: Status,
+    },
+    Ran {
+        task: String,
+        host: usize,
+        run: Run,
+    },
+}
+
+/// All that happened, in order.
+#[derive(Debug, Default)]
+pub struct History(Mutex<Vec<(Instant, Happened)>>);
+
+impl History {
+    pub fn add(&self, happened: Happened) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push((Instant::now(), happened));
+    }
+
+    pub fn all(&self) -> Vec<(Instant, Happened)> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// What is wrong, a line each; and how many jobs were accepted.
+#[derive(Debug, Default)]
+pub struct Verdict {
+    pub faults: Vec<String>,
+    pub accepted: usize,
+    pub done: usize,
+    pub cancelled: usize,
+    /// From the first word of a job to the last: the longest.
+    pub longest: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Job {
+    tasks: u64,
+    first: Option<Instant>,
+    ended: Option<(Status, Instant)>,
+}
+
+/// Reads the history from its beginning. `cancel`: how long a task may go on after its
+/// job's cancellation was told.
+pub fn check(history: &[(Instant, Happened)], cancel: Duration) -> Verdict {
+    let mut verdict = Verdict::default();
+    let mut jobs: BTreeMap<&str, Job> = BTreeMap::new();
+    let mut running: BTreeMap<&str, BTreeSet<usize>> = BTreeMap::new();
+    let mut done: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for (at, happened) in history {
+        match happened {
+            Happened::Told { job, tasks, status } => {
+                let entry = jobs.entry(job).or_default();
+                (entry.tasks, entry.first) = (*tasks, entry.first.or(Some(*at)));
+                told(job, entry, *status, *at, &mut verdict);
+            }
+            Happened::Ran { task, host, run } => {
+                let on = running.entry(task).or_default();
+                let job = task.split('/').next().unwrap_or_default();
+                if *run == Run::Started {
+                    on.insert(*host);
+                    if on.len() > 1 {
+                        verdict.faults.push(format!("{task} ran on {on:?} at a time"));
+                    }
+                } else {
+                    on.remove(host);
+                }
+                let over = jobs.get(job).and_then(|job| job.ended);
+                if over.is_some_and(|(status, told)| {
+                    status == Status::Cancelled && at.saturating_duration_since(told) > cancel
+                }) {
+                    verdict.faults.push(format!("{task} went on past its cancellation"));
+                }
+                if *run == Run::Done {
+                    done.entry(job).or_default().insert(task);
+                }
+            }
+        }
+    }
+    for (name, job) in &jobs {
+        let tasks = done.get(name).map_or(0, BTreeSet::len) as u64;
+        match job.ended {
+            None => verdict.faults.push(format!("{name} has no final answer")),
+            Some((Status::Done, _)) if tasks < job.tasks => {
+                verdict.faults.push(format!("{name} is done with {tasks} of {} tasks", job.tasks));
+            }
+            Some((status, at)) => {
+                verdict.done += usize::from(status == Status::Done);
+                verdict.cancelled += usize::from(status == Status::Cancelled);
+                let took = job.first.map(|first| at.saturating_duration_since(first));
+                verdict.longest = verdict.longest.max(took.unwrap_or_default());
+            }
+        }
+    }
+    verdict.accepted = jobs.len();
+    verdict
+}
+
+fn told(name: &str, job: &mut Job, status: Status, at: Instant, verdict: &mut Verdict) {
+    match (job.ended, status) {
+        (Some((ended, _)), status) if status != ended => {
+            verdict.faults.push(format!("{name} was {ended:?} and then {status:?}"));
+        }
+        (None, Status::Done | Status::Cancelled) => job.ended = Some((status, at)),
+        (None, Status::NotFound) => verdict.faults.push(format!("{name} was accepted and then not found")),
+        _ => {}
+    }
+}
--- a/crates/plankhead-standins/src/freeze.rs
+++ b/crates/plankhead-standins/src/freeze.rs
@@ -2,6 +2,7 @@
 
 use crate::cloud::Cloud;
 use crate::counts::Counts;
+use crate::finals::History;
 use crate::nodes::{Cluster, Running};
 use crate::stale::{self, Found};
 use crate::state::State;
@@ -69,11 +70,19 @@
     let (state_address, state) = crate::state::start(counts.clone()).await?;
     let cluster = Cluster::plan(load, state_address)?;
     let workload = Arc::new(users::Workload::default());
-    let workers =
-        workers::Workers::start(load, cluster.api_addresses(), workload.clone(), counts.clone()).await?;
+    let history = Arc::new(History::default());
+    let workers = workers::Workers::start(
+        load,
+        cluster.api_addresses(),
+        workload.clone(),
+        counts.clone(),
+        history.clone(),
+        None,
+    )
+    .await?;
     let cloud = crate::cloud::start(&cluster.cloud_addresses, load, workers, state.clone()).await?;
     let mut running = cluster.start(load)?;
-    tokio::spawn(users::run(load.clone(), cluster.api_addresses(), workload, counts.clone()));
+    tokio::spawn(users::run(load.clone(), cluster.api_addresses(), workload, counts.clone(), history));
     // A fleet that has its size may call the cloud no more for a minute: the first rental
     // is the one call that is sure to come.
     if pauses.instants != Instants::CloudCalled {
--- a/crates/plankhead-standins/src/lib.rs
+++ b/crates/plankhead-standins/src/lib.rs
@@ -2,13 +2,18 @@
 //! service, a cloud, workers and users. They follow the published protocol as far as
 //! their users need, keep what they did, and fail only on purpose.
 //!
-//! Two programs use them: `load` generates load for one cluster, and `freeze` pauses and
-//! resumes its processes and checks what the cloud did for whom ([`stale`]).
+//! Three programs use them: `load` generates load for one cluster, `freeze` pauses and
+//! resumes its processes and checks what the cloud did for whom ([`stale`]), and `cuts`
+//! cuts single links through proxies ([`proxy`]) and checks that every job reached exactly
+//! one final answer ([`finals`]).
 
 pub mod cloud;
 pub mod counts;
+pub mod cuts;
+pub mod finals;
 pub mod freeze;
 pub mod nodes;
+pub mod proxy;
 pub mod stale;
 pub mod state;
 pub mod users;
@@ -41,6 +46,9 @@
     /// Jobs submitted in a second.
     #[arg(long, default_value_t = 0.5)]
     pub jobs_per_s: f64,
+    /// Jobs submitted in all; 0: without end.
+    #[arg(long, default_value_t = 0)]
+    pub jobs: u64,
     /// Jobs submitted at once in the beginning.
     #[arg(long, default_value_t = 20)]
     pub initial: u64,
@@ -62,6 +70,12 @@
     /// Share of the jobs that are cancelled while they run.
     #[arg(long, default_value_t = 0.04)]
     pub cancelled: f64,
+    /// Seconds that a worker goes on without an answer to its reports.
+    #[arg(long, default_value_t = 11.0)]
+    pub lease_s: f64,
+    /// Seconds after a cancellation until its tasks must be gone.
+    #[arg(long, default_value_t = 36.0)]
+    pub cancel_s: f64,
     /// Connections that the platform allows a node.
     #[arg(long, default_value_t = 600)]
     pub sockets: usize,
--- /dev/null
+++ b/crates/plankhead/tests/cuts.rs
@@ -0,0 +1,84 @@
+//! Real controller processes whose links are cut one by one, in one direction at a time:
+//! every job reaches exactly one final answer.
+//!
+//! Longer runs are a program of their own: see the README.
+
+#![allow(clippy::unwrap_used)]
+
+use clap::Parser;
+use plankhead_standins::cuts::{self, Cuts};
+use plankhead_standins::finals::{check, Happened, Run, Status};
+use plankhead_standins::Load;
+use std::time::{Duration, Instant};
+
+#[derive(Debug, Parser)]
+struct Args {
+    #[command(flatten)]
+    load: Load,
+    #[command(flatten)]
+    cuts: Cuts,
+}
+
+#[tokio::test]
+async fn every_job_reaches_one_final_answer() {
+    let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy");
+    let files = format!("--fencing {deploy}/fencing.json --reachability {deploy}/reachability.json");
+    let args = Args::parse_from([
+        "cuts",
+        "--binary",
+        env!("CARGO_BIN_EXE_plankhead"),
+        "--node-arguments",
+        &files,
+        "--nodes=3",
+        "--machines=12",
+        "--jobs=60",
+        "--initial=6",
+        "--jobs-per-s=3",
+        "--run-s=2",
+        "--tasks=3",
+        "--cancelled=0.2",
+        "--boot-s=0.5",
+        "--report-s=0.5",
+        "--lease-s=6",
+        "--cancel-s=18",
+        "--cuts=6",
+        "--seed=3",
+        "--longest-s=3",
+    ]);
+    let outcome = cuts::run(&args.load, &args.cuts).await.unwrap();
+    assert_eq!(outcome.verdict.faults, Vec::<String>::new(), "{outcome:?}");
+    assert_eq!(outcome.verdict.accepted, 60, "{outcome:?}");
+}
+
+/// The check itself, on histories written by hand.
+#[test]
+fn the_check_tells_what_is_wrong() {
+    let start = Instant::now();
+    let told = |job: &str, status| Happened::Told { job: job.into(), tasks: 1, status };
+    let ran = |host, run| Happened::Ran { task: "a/0".into(), host, run };
+    let faults = |happened: &[(u64, Happened)]| {
+        let history: Vec<_> =
+            happened.iter().map(|(at, what)| (start + Duration::from_secs(*at), what.clone())).collect();
+        check(&history, Duration::from_secs(10)).faults
+    };
+    let accepted = (0, told("a", Status::Accepted));
+    let started = (1, ran(1, Run::Started));
+    let ended = (2, ran(1, Run::Done));
+    let done = (3, told("a", Status::Done));
+    let cancelled = (3, told("a", Status::Cancelled));
+    let sound = [accepted.clone(), started.clone(), ended.clone(), done.clone()];
+    assert_eq!(faults(&sound), Vec::<String>::new());
+    assert_eq!(faults(&sound[..3]), ["a has no final answer"]);
+    assert_eq!(faults(&[accepted.clone(), done.clone()]), ["a is done with 0 of 1 tasks"]);
+    let twice = [accepted.clone(), started.clone(), (2, ran(2, Run::Started)), ended, done.clone()];
+    assert_eq!(faults(&twice), ["a/0 ran on {1, 2} at a time"]);
+    let both = [&sound[..], &[cancelled.clone()]].concat();
+    assert_eq!(faults(&both), ["a was Done and then Cancelled"]);
+    let back = [&sound[..], &[(4, told("a", Status::Accepted))]].concat();
+    assert_eq!(faults(&back), ["a was Done and then Accepted"]);
+    let lost = [accepted.clone(), (1, told("a", Status::NotFound)), cancelled.clone()];
+    assert_eq!(faults(&lost), ["a was accepted and then not found"]);
+    let on = |at| [accepted.clone(), started.clone(), cancelled.clone(), (at, ran(1, Run::Stopped))];
+    assert_eq!(faults(&on(12)), Vec::<String>::new());
+    assert_eq!(faults(&on(14)), ["a/0 went on past its cancellation"]);
+}
