Stand-ins: processes are ended in a bounded time

Running::stop asked with an interrupt and waited without end. Now each has 5 s after the interrupt, as a profiler needs, and is killed then. Tests start shells that ignore the interrupt, and one that ends on it.

--- a/crates/plankhead-standins/src/nodes.rs
+++ b/crates/plankhead-standins/src/nodes.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
 /// Clock ticks a second in /proc, on every Linux of today.
 const TICKS: f64 = 100.0;
@@ -47,6 +48,9 @@
 /// Below the ports that the system gives to connections, which took planned ones before
 /// the processes had bound them: those ended at once, and runs went on without them.
 const PORTS: std::ops::Range<u16> = 12_000..32_000;
+/// How long processes may take to end after an interrupt, and how often it is looked.
+const STOP_PATIENCE: Duration = Duration::from_secs(5);
+const STOP_POLL: Duration = Duration::from_millis(10);
 /// Ports that are tried at the most.
 const MOST_TRIES: usize = 1_000;
 
@@ -150,6 +154,11 @@
 }
 
 impl Running {
+    /// Takes charge of processes that were started elsewhere.
+    pub fn new(children: Vec<Child>) -> Self {
+        Self(children)
+    }
+
     /// Nodes whose processes have ended by themselves.
     pub fn ended(&mut self) -> Vec<usize> {
         let over = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
@@ -200,13 +209,19 @@
         }
     }
 
+    /// Ends all processes. A profiler writes its figures when it is interrupted, which takes
+    /// a while; what has not ended by then is killed. A process that was started with the
+    /// interrupt ignored, as by a script in the background, never ends on it.
     pub fn stop(&mut self) {
+        for node in 0..self.0.len() {
+            self.signal(node, Signal::SIGINT);
+        }
+        let deadline = Instant::now() + STOP_PATIENCE;
         for child in &mut self.0 {
-            // A profiler writes its figures when it is asked to end.
-            let asked = Command::new("kill").args(["-INT", &child.id().to_string()]).status();
-            if asked.is_err() {
-                let _ = child.kill();
+            while matches!(child.try_wait(), Ok(None)) && Instant::now() < deadline {
+                std::thread::sleep(STOP_POLL);
             }
+            let _ = child.kill();
             let _ = child.wait();
         }
     }
--- /dev/null
+++ b/crates/plankhead-standins/tests/stop.rs
@@ -0,0 +1,40 @@
+//! Processes under load are ended in a bounded time, whatever they do with an interrupt.
+
+#![allow(clippy::unwrap_used)]
+
+use plankhead_standins::nodes::Running;
+use std::io::Read;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Starts a shell that says when it is set up, and waits for that.
+fn start(script: &str) -> Child {
+    let mut child = Command::new("sh").args(["-c", script]).stdout(Stdio::piped()).spawn().unwrap();
+    child.stdout.as_mut().unwrap().read_exact(&mut [0]).unwrap();
+    child
+}
+
+/// A script that runs in the background starts its children with the interrupt ignored:
+/// `.ci/run` stood for ever at the end of a test there.
+#[test]
+fn processes_that_ignore_the_interrupt_are_killed() {
+    let ignores = || start("trap '' INT; echo; exec sleep 600");
+    let mut running = Running::new(vec![ignores(), ignores()]);
+    let begin = Instant::now();
+    running.stop();
+    assert_eq!(running.ended(), [0, 1]);
+    assert!(begin.elapsed() < Duration::from_secs(10), "{:?}", begin.elapsed());
+}
+
+/// A profiler has the time to write what it found.
+#[test]
+fn processes_that_end_on_the_interrupt_are_waited_for() {
+    let folder = std::env::temp_dir().join(format!("plankhead-stop-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (file, wait) = (folder.join("figures"), "while :; do sleep 0.05; done");
+    let script = format!("trap 'sleep 0.3; echo 1 > {}; exit 0' INT; echo; {wait}", file.display());
+    let mut running = Running::new(vec![start(&script)]);
+    running.stop();
+    assert_eq!(std::fs::read_to_string(&file).unwrap(), "1\n");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
