Sharding: shards, records, transitions and the leader's registry

Need: machines divided among controllers, and a shard of them moved while jobs run. This is the crate without input or output: XXH3 buckets, one record a shard conditional on the leader's key and on its revision, allowed transitions in one place, who should hold what, sequences, bitmaps of who lives, and the bound on leases. Nothing uses it yet.

--- /dev/null
+++ b/crates/plankhead-sharding/src/record.rs
@@ -0,0 +1,65 @@
+//! The record of a shard, as the state service keeps it.
+
+use crate::shard::MAX_SHARDS_PER_ZONE;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The format that this version writes. One that it does not know is left alone.
+pub const FORMAT: u32 = 1;
+
+/// Who holds a shard, and whether it moves. Written by the leader alone, conditional on its
+/// key and on the record's revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    pub format: u32,
+    pub holder: String,
+    /// The fencing token of the leader that wrote it.
+    pub term: u64,
+    /// How many shards the zone has.
+    pub shards: u32,
+    /// The move that is under way.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub moving: Option<Moving>,
+}
+
+/// A move that was begun: the holder is to let the shard go.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Moving {
+    /// The revision at which the holder was named.
+    pub epoch: u64,
+    /// Who is to hold the shard next.
+    pub to: String,
+}
+
+#[derive(Debug, Error)]
+pub enum RecordFault {
+    #[error("not a record: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("format {0} is not known")]
+    Format(u32),
+    #[error("a field is out of range")]
+    Range,
+}
+
+impl Record {
+    pub fn held(holder: &str, term: u64, shards: u32) -> Self {
+        Self { format: FORMAT, holder: holder.into(), term, shards, moving: None }
+    }
+
+    pub fn read(value: &str) -> Result<Self, RecordFault> {
+        let record: Self = serde_json::from_str(value)?;
+        if record.format != FORMAT {
+            return Err(RecordFault::Format(record.format));
+        }
+        let named = !record.holder.is_empty() && record.holder.len() <= 200;
+        if !named || !(1..=MAX_SHARDS_PER_ZONE).contains(&record.shards) {
+            return Err(RecordFault::Range);
+        }
+        Ok(record)
+    }
+
+    /// The shard's fencing token, from the revision of the record.
+    pub fn epoch(&self, revision: u64) -> u64 {
+        self.moving.as_ref().map_or(revision, |moving| moving.epoch)
+    }
+}
--- /dev/null
+++ b/crates/plankhead-sharding/src/shard.rs
@@ -0,0 +1,53 @@
+//! Which shard a machine belongs to.
+
+use std::fmt;
+use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The prefix of all records of shards.
+pub const PREFIX: &str = "shard/";
+/// Shards that one zone may have.
+pub const MAX_SHARDS_PER_ZONE: u32 = 64;
+
+/// One part of a zone's machines.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ShardId {
+    pub zone: String,
+    /// Below the number of the zone's shards.
+    pub index: u32,
+}
+
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("not the key of a shard")]
+pub struct BadShardKey;
+
+impl ShardId {
+    /// The shard of a machine, in a zone of so many shards. All builds agree on it: XXH3
+    /// of the name, which is specified.
+    pub fn of(zone: &str, machine: &str, shards: u32) -> Self {
+        let index = xxh3_64(machine.as_bytes()) % u64::from(shards.max(1));
+        Self { zone: zone.into(), index: index as u32 }
+    }
+
+    /// The key of the shard's record.
+    pub fn key(&self) -> String {
+        format!("{PREFIX}{}/{}", self.zone, self.index)
+    }
+
+    /// Reads the key of a record.
+    pub fn from_key(key: &str) -> Result<Self, BadShardKey> {
+        let (zone, index) =
+            key.strip_prefix(PREFIX).and_then(|rest| rest.rsplit_once('/')).ok_or(BadShardKey)?;
+        let index: u32 = index.parse().map_err(|_| BadShardKey)?;
+        if zone.is_empty() || index >= MAX_SHARDS_PER_ZONE {
+            return Err(BadShardKey);
+        }
+        Ok(Self { zone: zone.into(), index })
+    }
+}
+
+impl fmt::Display for ShardId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.zone, self.index)
+    }
+}
--- /dev/null
+++ b/crates/plankhead-sharding/tests/rules.rs
@@ -0,0 +1,171 @@
+//! The small rules: transitions, keys, records, sequences, bitmaps, bounds and balance.
+
+#![allow(clippy::unwrap_used)]
+
+use plankhead_sharding::alive::{self, AliveFault, Names, Numbers};
+use plankhead_sharding::balance::{choose, improve, Candidate, Holding, Holdings};
+use plankhead_sharding::record::{Moving, Record, RecordFault};
+use plankhead_sharding::sequence::{SequenceGuard, StaleMessage, Stamp};
+use plankhead_sharding::shard::ShardId;
+use plankhead_sharding::sight::Sight;
+use plankhead_sharding::state::{ShardState, Transition};
+use plankhead_sharding::table::ShardTable;
+use roaring::RoaringBitmap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+/// Every state against every transition: all that is not listed is forbidden.
+#[test]
+fn only_listed_transitions_are_allowed() {
+    let (a, b) = || -> (String, String) { ("a".into(), "b".into()) }();
+    let held = ShardState::Held { holder: a.clone(), epoch: 5 };
+    let releasing = ShardState::Releasing { holder: a.clone(), epoch: 5, to: b.clone() };
+    let released = ShardState::Released { holder: a.clone(), epoch: 5, to: b.clone() };
+    let states = [ShardState::Vacant, held.clone(), releasing.clone(), released.clone()];
+    let name = |holder: &String, epoch| Transition::Name { holder: holder.clone(), epoch };
+    for state in &states {
+        let named = ShardState::Held { holder: b.clone(), epoch: 9 };
+        assert_eq!(state.after(name(&b, 9)), Ok(named), "{state}");
+        let older = state.epoch();
+        assert!(state.after(name(&b, older)).is_err(), "{state}: an epoch is never used again");
+        let begins = state.after(Transition::BeginRelease { to: b.clone() });
+        assert_eq!(begins.ok(), (*state == held).then(|| releasing.clone()), "{state}");
+        let confirmed = state.after(Transition::ConfirmRelease { epoch: 5 });
+        assert_eq!(confirmed.ok(), (*state == releasing).then(|| released.clone()), "{state}");
+        assert!(state.after(Transition::ConfirmRelease { epoch: 4 }).is_err(), "{state}");
+    }
+    assert!(held.after(Transition::BeginRelease { to: a }).is_err(), "a move to its own holder");
+}
+
+/// Nodes of all builds must agree on where a machine belongs.
+#[test]
+fn machines_belong_where_every_build_puts_them() {
+    let places: Vec<u32> = (0..8).map(|n| ShardId::of("x", &format!("i-{n:06}"), 4).index).collect();
+    assert_eq!(places, PLACES);
+    let mut counts = [0u32; 8];
+    for n in 0..4_000 {
+        counts[ShardId::of("x", &format!("i-{n:06}"), 8).index as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| (420..=580).contains(count)), "{counts:?}");
+}
+
+/// Recorded from the first version.
+const PLACES: [u32; 8] = [0, 0, 0, 2, 3, 1, 0, 2];
+
+#[test]
+fn keys_and_records_are_read_back_or_refused() {
+    let shard = ShardId { zone: "ringtee-dc".into(), index: 3 };
+    assert_eq!(ShardId::from_key(&shard.key()), Ok(shard));
+    for key in ["shard/", "shard/x", "shard//1", "shard/x/64", "shard/x/-1", "job/x/1", "shard/x/1a"] {
+        assert!(ShardId::from_key(key).is_err(), "{key}");
+    }
+    let moving = Some(Moving { epoch: 7, to: "b".into() });
+    let record = Record { moving, ..Record::held("a", 5, 2) };
+    let text = serde_json::to_string(&record).unwrap();
+    assert_eq!(Record::read(&text).unwrap(), record);
+    assert_eq!((record.epoch(9), Record::held("a", 5, 2).epoch(9)), (7, 9));
+    assert!(matches!(
+        Record::read(&text.replace("\"format\":1", "\"format\":2")),
+        Err(RecordFault::Format(2))
+    ));
+    assert!(matches!(Record::read(&text.replace("\"shards\":2", "\"shards\":0")), Err(RecordFault::Range)));
+    assert!(matches!(Record::read("[]"), Err(RecordFault::Json(_))));
+}
+
+#[test]
+fn a_table_keeps_the_newest_and_drops_what_it_cannot_read() {
+    let text = |holder| serde_json::to_string(&Record::held(holder, 5, 2)).unwrap();
+    let mut table = ShardTable::default();
+    let shard = ShardId { zone: "x".into(), index: 0 };
+    table.write("shard/x/0", &text("b"), 9).unwrap();
+    table.write("shard/x/0", &text("a"), 8).unwrap();
+    assert_eq!(table.get(&shard).unwrap().record.holder, "b", "an older event changes nothing");
+    assert!(table.shard_of("y", "i-1").is_none(), "a zone that is not divided");
+    table.remove("shard/x/0", 9);
+    assert!(table.get(&shard).is_some(), "dropped before it was written");
+    assert!(table.write("shard/x/0", "{}", 10).is_err());
+    assert!(table.get(&shard).is_none(), "nobody acts by a record that can't be read");
+}
+
+#[test]
+fn only_news_of_the_latest_start_is_admitted() {
+    let mut guard = SequenceGuard::default();
+    let stamp = |boot, sequence| Stamp { boot, sequence };
+    assert_eq!(guard.admit("a", stamp(1, 5)), Ok(true));
+    assert_eq!(guard.admit("a", stamp(1, 5)), Err(StaleMessage::Sequence));
+    assert_eq!(guard.admit("a", stamp(1, 4)), Err(StaleMessage::Sequence));
+    assert_eq!(guard.admit("a", stamp(1, 9)), Ok(false));
+    assert_eq!(guard.admit("a", stamp(2, 1)), Ok(true));
+    assert_eq!(guard.admit("a", stamp(1, 10)), Err(StaleMessage::Boot));
+    assert_eq!(guard.admit("b", stamp(1, 1)), Ok(true));
+}
+
+#[test]
+fn bitmaps_tell_who_lives_and_odd_ones_are_refused() {
+    let mut numbers = Numbers::default();
+    let machines: Vec<Arc<str>> = (0..4_000).map(|n| format!("i-{n:06}").as_str().into()).collect();
+    let mut names = Names::default();
+    let mut alive = RoaringBitmap::new();
+    for machine in &machines {
+        let number = numbers.assign(machine).unwrap();
+        names.learn(number, machine.clone());
+        alive.insert(number);
+    }
+    alive.insert(9_999);
+    let bytes = alive::encode(&alive);
+    assert!(bytes.len() < 1_024, "{} bytes for 4,000 machines", bytes.len());
+    let read = alive::decode(&bytes).unwrap();
+    assert_eq!(names.of(&read).count(), 4_000, "a number that nobody was told of is passed over");
+    assert_eq!(numbers.assign(&machines[7]), numbers.get(&machines[7]), "a number stays");
+    assert_eq!(alive::decode(&[0; 3]), Err(AliveFault::Malformed));
+    assert_eq!(alive::decode(&vec![0; 17 * 1024]), Err(AliveFault::TooLarge));
+    let many = alive::encode(&(0..20_000).collect());
+    assert_eq!(alive::decode(&many), Err(AliveFault::TooLarge));
+}
+
+/// `a + lease (1 + d) + e <= v + cancel (1 - d)` for the holder's own sight of both.
+#[test]
+fn leases_end_before_an_unseen_cancellation_is_due() {
+    let (lease, cancel) = (secs(11), secs(36));
+    let both = |jobs, records| Sight { jobs: Some(secs(jobs)), records: Some(secs(records)) };
+    assert!(both(100, 100).may_renew(secs(122), lease, cancel));
+    assert!(!both(100, 100).may_renew(secs(123), lease, cancel));
+    assert!(!both(100, 110).may_renew(secs(123), lease, cancel), "the older of the two counts");
+    assert!(!both(110, 100).may_renew(secs(123), lease, cancel));
+    assert!(!Sight { jobs: Some(secs(1)), records: None }.may_renew(secs(1), lease, cancel), "none at all");
+    assert!(both(100, 0).may_start(secs(103)) && !both(100, 0).may_start(secs(104)));
+    let latest = secs(123) + lease.mul_f64(1.0005) + Duration::from_millis(100);
+    assert!(latest <= secs(100) + cancel.mul_f64(0.9995), "the bound itself");
+}
+
+#[test]
+fn load_is_even_and_close_and_moves_do_not_come_back() {
+    let candidate =
+        |host: &str, zone: &str, capacity| Candidate { host: host.into(), zone: zone.into(), capacity };
+    let candidates = [candidate("a", "x", 0.3), candidate("b", "x", 1.0), candidate("c", "y", 1.0)];
+    let mut holdings = Holdings::new();
+    for (zone, index) in [("x", 0), ("x", 1), ("y", 0), ("y", 1)] {
+        holdings.insert(ShardId { zone: zone.into(), index }, Holding { machines: 40, holder: None });
+    }
+    for shard in holdings.keys().cloned().collect::<Vec<_>>() {
+        let chosen = choose(&shard, &candidates, &holdings).unwrap().host.clone();
+        assert_eq!(chosen, if shard.zone == "x" { "b" } else { "c" }, "{shard}");
+        holdings.get_mut(&shard).unwrap().holder = Some(chosen);
+    }
+    assert_eq!(improve(&candidates, &holdings, 0.25), None, "even already");
+    for holding in holdings.values_mut() {
+        holding.holder = Some("c".into());
+    }
+    let mut moves = 0;
+    while let Some(best) = improve(&candidates, &holdings, 0.25) {
+        holdings.get_mut(&best.shard).unwrap().holder = Some(best.to);
+        moves += 1;
+        assert!(moves <= 3, "moves without end: {holdings:?}");
+    }
+    assert!(moves >= 1);
+    assert_eq!(choose(&ShardId::of("x", "m", 1), &[], &holdings), None);
+}
