--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::easy::Slot;
 use crate::job::Resources;
 use crate::places::Places;
-use crate::protocol::{HostName, HostStatus, ListedHost, Report, Rig, Seen, TaskId};
+use crate::protocol::{HostName, HostStatus, ListedHost, Order, OrdersReply, Report, Rig, Seen, TaskId};
 use crate::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -25,6 +25,10 @@
 /// Commands in a row without an answer after which a machine whose report is late
 /// is lost.
 const MOST_UNANSWERED: u32 = 2;
+/// Machines asked at a time why their reports are late.
+const MOST_INQUIRIES: usize = 64;
+/// The share of a lease in which a worker is sent to look for another node once.
+const SENT_OFF: f64 = 0.6;
 /// One machine in so many is few.
 const FEW: usize = 50;
 /// What a peer tells of a machine is believed for so long.
@@ -102,6 +106,8 @@
     pub direct: Duration,
     /// When a peer last told that it hears this machine, whose reports are late here.
     pub heard_elsewhere: Option<Duration>,
+    /// When its silence was last excused.
+    pub excused: Duration,
     /// Its last report came through a sibling.
     pub relayed: bool,
     pub notice: bool,
@@ -155,6 +161,65 @@
         now.saturating_sub(self.heard) > gap || self.unanswered > 0 || self.unheeded > 0
     }
 
+    /// Whether the newest report lists an attempt.
+    pub fn lists(&self, task: &TaskId, attempt: u64) -> bool {
+        let listed = |report: &Report| report.tasks.iter().any(|l| l.task == *task && l.attempt == attempt);
+        self.report.as_ref().is_some_and(listed)
+    }
+
+    /// Whether a direct start of the attempt may still be carried out.
+    pub fn has_unconfirmed_run(&self, task: &TaskId, attempt: u64) -> bool {
+        self.unconfirmed_runs.iter().any(|(t, n, _)| t == task && *n == attempt)
+    }
+
+    /// Whether a command may be sent straight to the worker. Who reaches us only through a
+    /// sibling is not reached by us either: a command might be held and carried out long
+    /// after.
+    pub fn takes_commands(&self) -> bool {
+        !self.busy && !self.address.is_empty() && self.leaving.is_none() && !self.relayed
+    }
+
+    /// A direct command with these starts is sent; tells where to.
+    pub fn begin_command(&mut self, runs: &[(TaskId, u64)]) -> Arc<str> {
+        let shift = self.shift().unwrap_or_default();
+        self.busy = true;
+        self.unconfirmed_runs.extend(runs.iter().map(|(task, attempt)| (task.clone(), *attempt, shift)));
+        self.address.clone()
+    }
+
+    /// What came of a direct command.
+    pub fn end_command(&mut self, shift: u64, runs: &[(TaskId, u64)], reply: &OrdersReply) {
+        self.busy = false;
+        if !matches!(reply, OrdersReply::Answered(_)) {
+            self.unanswered += 1;
+        }
+        if !matches!(reply, OrdersReply::Unanswered) {
+            self.unconfirmed_runs.retain(|(t, n, s)| *s != shift || !runs.contains(&(t.clone(), *n)));
+        }
+    }
+
+    /// Whether the worker is to look for another node, once in a while: where `adrift`,
+    /// somebody else may be entitled by now. Who finds nobody comes back before its lease
+    /// runs out.
+    pub fn is_sent_off(&mut self, adrift: bool, lease: Duration, now: Duration) -> bool {
+        let patience = lease.mul_f64(SENT_OFF);
+        let due = adrift && self.sent_off.is_none_or(|at| now.saturating_sub(at) > patience);
+        if due {
+            self.sent_off = Some(now);
+        }
+        due
+    }
+
+    /// Notes what an answer to a report asked for. The first that a node hears of a machine
+    /// may be an old copy, of an earlier session: its answer reaches nobody, and who then
+    /// reports a later session or nothing of what was asked is not deaf for that.
+    pub fn note_answer(&mut self, orders: &[Order], now: Duration) {
+        if self.proven {
+            self.answered = Some(now);
+            self.asked = orders.iter().filter_map(Order::asked).collect();
+        }
+    }
+
     /// Whether the report shows at least one of the orders in the last answer,
     /// if there were any.
     fn heeds(&self, report: &Report) -> bool {
@@ -206,6 +271,7 @@
             heard: now,
             news: now,
             direct: now,
+            excused: Duration::ZERO,
             relayed: false,
             heard_elsewhere: None,
             notice: false,
@@ -291,7 +357,8 @@
         }
         machine.asked.clear();
         machine.unanswered = 0;
-        machine.proven |= report.token == own;
+        // A later one is of the same term, or of one whose leader has taken this one's place.
+        machine.proven |= report.token >= own;
         // What carries another token may be a late copy: no sign of life.
         if machine.proven || first {
             machine.heard = now;
@@ -493,13 +560,35 @@
         }
     }
 
-    /// Machines whose report is late and that may still be asked why.
-    pub fn late(&self, now: Duration, gap: Duration) -> Vec<HostName> {
-        let asks = |m: &&Machine| {
-            m.up() && !m.busy && !m.relayed && m.unanswered < MOST_UNANSWERED && !m.address.is_empty()
-        };
-        let late = |m: &&Machine| now.saturating_sub(m.heard) > gap;
-        self.machines.values().filter(asks).filter(late).map(|m| m.name.clone()).collect()
+    /// Machines whose report is late and that are to be asked why: not too many at a time,
+    /// and only `own` ones.
+    pub fn to_inquire(&self, now: Duration, gap: Duration, own: impl Fn(&Machine) -> bool) -> Vec<HostName> {
+        let asked = self.machines.values().filter(|m| m.busy).count();
+        let asks = |m: &&Machine| m.up() && m.takes_commands() && m.unanswered < MOST_UNANSWERED;
+        let late = |m: &&Machine| now.saturating_sub(m.heard) > gap && own(m);
+        let names = self.machines.values().filter(asks).filter(late).map(|m| m.name.clone());
+        names.take(MOST_INQUIRIES.saturating_sub(asked)).collect()
+    }
+
+    /// The machine's worker has to find another node through no fault of its own: it is given
+    /// the time, once for every time that it is heard.
+    pub fn excuse(&mut self, host: &str, now: Duration) {
+        if let Some(machine) = self.machines.get_mut(host).filter(|machine| machine.news >= machine.excused) {
+            machine.excused = now;
+            machine.heard = machine.heard.max(now);
+            machine.direct = machine.direct.max(now);
+        }
+    }
+
+    /// The holder of a machine's shard heard it at that time, with nothing new.
+    pub fn heard_by_holder(&mut self, host: &str, at: Duration) {
+        if let Some(machine) = self.machines.get_mut(host).filter(|machine| machine.proven) {
+            machine.heard = machine.heard.max(at);
+            machine.news = machine.news.max(at);
+            machine.direct = machine.direct.max(at);
+            machine.unanswered = 0;
+            machine.relayed = false;
+        }
     }
 
     /// The cloud confirmed the release.
--- /dev/null
+++ b/crates/plankhead-core/src/holder/commands.rs
@@ -0,0 +1,200 @@
+//! What a holder tells its workers.
+
+use super::*;
+use crate::shard_messages::{LeaderOrders, MachineOrders};
+
+impl Holder {
+    /// Takes in what the leader orders; false: it is not meant for this node, or over.
+    pub fn leader_orders(
+        &mut self,
+        now: Duration,
+        message: LeaderOrders,
+        standing: Standing,
+        out: &mut Out,
+    ) -> bool {
+        let known = self.leader.as_ref().map_or(0, |leader| leader.token);
+        if message.token < known || self.guard.admit(&message.host, message.stamp).is_err() {
+            self.refused += 1;
+            return false;
+        }
+        self.note_leader(Some((message.host.clone(), message.token)), now);
+        for (shard, epoch) in &message.shards {
+            // A record that this node has not read yet, or that another has replaced.
+            let held = self.shards.get(shard);
+            if held.is_none_or(|held| held.epoch != *epoch || held.term != message.token) {
+                self.refused += 1;
+                return false;
+            }
+        }
+        let named: BTreeSet<&ShardId> = message.shards.iter().map(|(shard, _)| shard).collect();
+        let snapshot: Vec<&Report> = message.snapshot.iter().collect();
+        for report in snapshot {
+            self.take_snapshot(now, report, &named);
+        }
+        for MachineOrders { host, shift, orders } in message.machines {
+            if !self.shard_of.get(&host).is_some_and(|shard| named.contains(shard)) {
+                self.refused += 1;
+                continue;
+            }
+            let commands = self.commands.entry(host.clone()).or_default();
+            if commands.shift != shift {
+                *commands = Commands { shift, ..Commands::default() };
+            }
+            commands.orders = orders;
+            self.tell(now, &host, standing, out);
+        }
+        true
+    }
+
+    /// What the leader knows of a machine in a shard that came to this node: enough to send
+    /// commands, and no sign of life.
+    fn take_snapshot(&mut self, now: Duration, report: &Report, named: &BTreeSet<&ShardId>) {
+        let known = self.fleet.machines.contains_key(&report.host);
+        let shard = named.iter().find(|shard| {
+            let of = self.shards.contains_key(**shard) && *shard.zone == *report.zone;
+            of && ShardId::of(&report.zone, &report.host, self.shards_of_zone(&shard.zone)) == ***shard
+        });
+        if let Some(shard) = shard.filter(|_| !known) {
+            let epoch = self.shards.get(*shard).map_or(0, |held| held.epoch);
+            self.hear(now, report, ((*shard).clone(), epoch), false);
+            self.news.remove(&report.host);
+        }
+    }
+
+    /// Sends a machine what it should hear at once: each start and each kill once. The
+    /// answers to reports repeat what got lost.
+    pub(super) fn tell(&mut self, now: Duration, host: &HostName, standing: Standing, out: &mut Out) {
+        let sight = self.sight(standing);
+        let Some(epoch) = self.shard_of.get(host).and_then(|shard| self.epoch(shard, now)) else { return };
+        let Some(machine) = self.fleet.machines.get(host) else { return };
+        let Some(shift) = machine.shift().filter(|_| machine.takes_commands()) else { return };
+        let orders: Vec<Order> = self.direct_orders(machine, sight, now);
+        if orders.is_empty() {
+            return;
+        }
+        let run = |order: &Order| match order {
+            Order::Run { task, attempt } => Some((task.clone(), *attempt)),
+            _ => None,
+        };
+        let runs: Vec<(TaskId, u64)> = orders.iter().filter_map(run).collect();
+        let commands = self.commands.entry(host.clone()).or_default();
+        commands.told.extend(orders.iter().filter_map(Order::asked));
+        let Some(machine) = self.fleet.machines.get_mut(host) else { return };
+        let address = machine.begin_command(&runs);
+        let call = HolderCall::Orders { host: host.clone(), shift, runs };
+        out.orders(Purpose::Holder(call), address, epoch, shift, orders);
+    }
+
+    /// Starts and kills that were not sent straight to the worker yet. A start with a kill
+    /// of the same attempt goes with the answer to a report only.
+    fn direct_orders(&self, machine: &Machine, sight: Sight, now: Duration) -> Vec<Order> {
+        let orders = self.orders(&machine.name, sight, now);
+        let told = self.commands.get(&machine.name).map(|commands| &commands.told);
+        let asked: Vec<(TaskId, u64, bool)> = orders.iter().filter_map(Order::asked).collect();
+        let direct = |order: &Order| {
+            let Some(key) = order.asked() else { return false };
+            let both = key.2 && asked.contains(&(key.0.clone(), key.1, false));
+            let listed = machine.lists(&key.0, key.1);
+            let due = if key.2 { !self.behind && !both } else { listed };
+            due && told.is_none_or(|told| !told.contains(&key))
+        };
+        orders.into_iter().filter(direct).collect()
+    }
+
+    /// Commands for a machine, by its newest report.
+    pub(super) fn orders(&self, host: &HostName, sight: Sight, now: Duration) -> Vec<Order> {
+        let Some(machine) = self.fleet.machines.get(host) else { return Vec::new() };
+        let Some(report) = &machine.report else { return Vec::new() };
+        let ordered = self.commands.get(host).filter(|commands| commands.shift == report.shift);
+        let due = |order: &&Order| match order {
+            Order::Run { task, attempt } => {
+                sight.may_start(now) && !self.jobs.is_cancelled(&task.job) && !machine.lists(task, *attempt)
+            }
+            Order::Kill { .. } => true,
+            Order::Reap { task, attempt } => !machine.has_unconfirmed_run(task, *attempt),
+        };
+        let mut orders: Vec<Order> =
+            ordered.into_iter().flat_map(|commands| &commands.orders).filter(due).cloned().collect();
+        for listed in report.tasks.iter().filter(|listed| !matches!(listed.seen, Seen::Ended(_))) {
+            let (task, attempt) = (&listed.task, listed.attempt);
+            let killed =
+                |order: &Order| order.asked().is_some_and(|(t, n, run)| !run && t == *task && n == attempt);
+            if self.jobs.is_cancelled(&task.job) && !orders.iter().any(killed) {
+                orders.push(Order::Kill { task: task.clone(), attempt, leeway: Duration::ZERO });
+            }
+        }
+        orders.truncate(MAX_ORDERS);
+        orders
+    }
+
+    /// Drops commands that the report shows carried out.
+    pub(super) fn settle_commands(&mut self, report: &Report) {
+        let Some(commands) = self.commands.get_mut(&report.host) else { return };
+        if commands.shift != report.shift {
+            self.commands.remove(&report.host);
+            return;
+        }
+        let seen = |task: &TaskId, attempt: u64| {
+            let listed = report.tasks.iter().find(|listed| listed.task == *task && listed.attempt == attempt);
+            listed.map(|listed| listed.seen)
+        };
+        commands.orders.retain(|order| match order {
+            Order::Run { task, attempt } => seen(task, *attempt).is_none(),
+            Order::Kill { task, attempt, .. } => !matches!(seen(task, *attempt), Some(Seen::Ended(_))),
+            Order::Reap { task, attempt } => seen(task, *attempt).is_some(),
+        });
+    }
+
+    pub fn orders_reply(
+        &mut self,
+        now: Duration,
+        (host, shift, runs): (HostName, u64, Vec<(TaskId, u64)>),
+        reply: OrdersReply,
+        standing: Standing,
+        out: &mut Out,
+    ) {
+        let Some(machine) = self.fleet.machines.get_mut(&host) else { return };
+        machine.end_command(shift, &runs, &reply);
+        if !matches!(reply, OrdersReply::Answered(_)) {
+            self.news.insert(host.clone());
+        }
+        let of = self.shard_of.get(&host).and_then(|shard| Some((shard.clone(), self.epoch(shard, now)?)));
+        if let (OrdersReply::Answered(report), Some(of)) = (reply, of) {
+            // A later token: somebody else holds the shard, and the record will say so.
+            if report.host == host && report.token <= of.1 {
+                self.hear(now, &report, of, true);
+            }
+        }
+        self.tell(now, &host, standing, out);
+    }
+
+    /// Ends tasks of cancelled jobs, without waiting for the workers' reports.
+    pub(super) fn tell_kills(&mut self, now: Duration, standing: Standing, out: &mut Out) {
+        let holds = |machine: &&Machine| {
+            let tasks = machine.report.as_ref().map(|report| &report.tasks);
+            tasks.is_some_and(|tasks| tasks.iter().any(|listed| self.jobs.is_cancelled(&listed.task.job)))
+        };
+        let hosts: Vec<HostName> =
+            self.fleet.machines.values().filter(holds).map(|machine| machine.name.clone()).collect();
+        for host in hosts {
+            self.tell(now, &host, standing, out);
+        }
+    }
+
+    /// Asks machines whose reports are late directly whether they are there.
+    pub(super) fn inquire(&mut self, now: Duration, out: &mut Out) {
+        if self.behind {
+            return;
+        }
+        for host in self.fleet.to_inquire(now, self.settings.gap(), |_| true) {
+            let Some(epoch) = self.shard_of.get(&host).and_then(|shard| self.epoch(shard, now)) else {
+                continue;
+            };
+            let Some(machine) = self.fleet.machines.get_mut(&host) else { continue };
+            let Some(shift) = machine.shift() else { continue };
+            let address = machine.begin_command(&[]);
+            let call = HolderCall::Orders { host, shift, runs: Vec::new() };
+            out.orders(Purpose::Holder(call), address, epoch, shift, Vec::new());
+        }
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/holder/mod.rs
@@ -0,0 +1,345 @@
+//! The holder's role: a controller that does not lead answers the workers of its shards,
+//! passes on what the leader has them do, and tells the leader what is new.
+//!
+//! Each answer stands on the holder's own sight of the jobs and of the records of shards.
+//! It starts only what the present leader ordered, ends tasks of cancelled jobs by itself,
+//! and judges no machine: that is the leader's.
+
+mod commands;
+pub mod jobs;
+mod reporting;
+
+use crate::fleet::{Fleet, Heard, Leaving, Machine};
+use crate::node::{Out, Purpose, Times};
+use crate::protocol::{
+    Answer, CallError, HostName, Level, Order, OrdersReply, Report, Seen, StateReply, TaskId,
+};
+use crate::requests::RequestHandler;
+use crate::settings::Settings;
+use jobs::JobSight;
+use plankhead_sharding::alive::Numbers;
+use plankhead_sharding::sequence::{SequenceGuard, Stamp};
+use plankhead_sharding::shard::ShardId;
+use plankhead_sharding::sight::Sight;
+use plankhead_sharding::table::ShardTable;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Commands in one answer to a worker: its lines must stay below 64 KiB.
+const MAX_ORDERS: usize = 300;
+/// How long a holder acts under the records of a former leader while the present one has
+/// not renewed them: it may be of a version that knows nothing of shards.
+const FORMER_TERM: Duration = Duration::from_secs(15);
+/// A machine that was not heard for so long is forgotten here; the leader judges it.
+const FORGET: Duration = Duration::from_secs(60);
+/// How often machines are looked through.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// What a holder's call is for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum HolderCall {
+    Jobs(jobs::Step),
+    Orders { host: HostName, shift: u64, runs: Vec<(TaskId, u64)> },
+    Report { leader: u64, machines: Vec<HostName> },
+}
+
+/// A shard that this node holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Held {
+    epoch: u64,
+    /// The token of the leader that named this node.
+    term: u64,
+    /// It is to be let go: nothing is started there.
+    releasing: bool,
+}
+
+/// What the leader has a machine told in one session of its worker.
+#[derive(Debug, Default)]
+struct Commands {
+    shift: u64,
+    orders: Vec<Order>,
+    /// What was sent straight to the worker, once.
+    told: BTreeSet<(TaskId, u64, bool)>,
+}
+
+/// The leader as a holder knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct KnownLeader {
+    host: String,
+    token: u64,
+    since: Duration,
+    /// It does not divide machines.
+    unsupported: bool,
+}
+
+#[derive(Debug)]
+pub struct Holder {
+    settings: Arc<Settings>,
+    jobs: JobSight,
+    fleet: Fleet,
+    shards: BTreeMap<ShardId, Held>,
+    /// Into how many shards the zones of those are divided.
+    shards_per_zone: HashMap<String, u32>,
+    /// Under which shard each machine was taken in.
+    shard_of: HashMap<HostName, ShardId>,
+    commands: HashMap<HostName, Commands>,
+    leader: Option<KnownLeader>,
+    guard: SequenceGuard,
+    /// Messages that were refused, and commands that were under a token that is over.
+    refused: u64,
+    /// Machines whose latest report the leader has not been told.
+    news: BTreeSet<HostName>,
+    /// Machines heard with nothing new since the last message, and since when.
+    alive: BTreeSet<HostName>,
+    alive_since: Duration,
+    numbers: Numbers,
+    stream: u64,
+    sequence: u64,
+    reporting: bool,
+    report_sent: Duration,
+    report_due: Duration,
+    look_due: Duration,
+    /// The process is behind: starts go with the answers to reports only.
+    behind: bool,
+}
+
+/// What a holder's decisions of one step stand on.
+#[derive(Debug, Clone, Copy)]
+pub struct Standing {
+    /// When the records of shards were last seen.
+    pub records: Option<Duration>,
+    pub behind: bool,
+}
+
+impl Holder {
+    pub fn new(settings: Arc<Settings>) -> Self {
+        Self {
+            settings,
+            jobs: JobSight::default(),
+            fleet: Fleet::default(),
+            shards: BTreeMap::new(),
+            shards_per_zone: HashMap::new(),
+            shard_of: HashMap::new(),
+            commands: HashMap::new(),
+            leader: None,
+            guard: SequenceGuard::default(),
+            refused: 0,
+            news: BTreeSet::new(),
+            alive: BTreeSet::new(),
+            alive_since: Duration::ZERO,
+            numbers: Numbers::default(),
+            stream: 0,
+            sequence: 0,
+            reporting: false,
+            report_sent: Duration::ZERO,
+            report_due: Duration::ZERO,
+            look_due: Duration::ZERO,
+            behind: false,
+        }
+    }
+
+    /// Takes in the records: which shards this node holds, and under which epoch.
+    pub fn adopt(&mut self, table: &ShardTable, out: &mut Out) {
+        let own = |known: &plankhead_sharding::table::KnownRecord| known.record.holder == self.settings.host;
+        let held = table.iter().filter(|(_, known)| own(known)).map(|(shard, known)| {
+            let held = Held {
+                epoch: known.epoch(),
+                term: known.record.term,
+                releasing: known.record.moving.is_some(),
+            };
+            (shard.clone(), held)
+        });
+        let held: BTreeMap<ShardId, Held> = held.collect();
+        let per_zone = table.iter().map(|(shard, known)| (shard.zone.clone(), known.record.shards));
+        self.shards_per_zone = per_zone.collect();
+        for (shard, now) in &held {
+            let before = self.shards.get(shard);
+            if before.is_none_or(|before| before.epoch != now.epoch) {
+                out.log(Level::Info, format!("holds shard {shard} under {}", now.epoch));
+            }
+            // What a former leader ordered is void, and so are starts in a shard that goes.
+            let renewed = before.is_some_and(|before| before.term != now.term);
+            if renewed || now.releasing {
+                self.drop_commands(shard, now.releasing);
+            }
+        }
+        for shard in self.shards.keys().filter(|shard| !held.contains_key(*shard)) {
+            out.log(Level::Info, format!("holds shard {shard} no more"));
+        }
+        let gone = |shard: &ShardId| !held.contains_key(shard);
+        let left: Vec<HostName> =
+            self.shard_of.iter().filter(|(_, shard)| gone(shard)).map(|(host, _)| host.clone()).collect();
+        left.iter().for_each(|host| self.forget(host));
+        self.shards = held;
+    }
+
+    /// Drops commands for a shard's machines; `starts`: only starts.
+    fn drop_commands(&mut self, shard: &ShardId, starts: bool) {
+        let here = |host: &HostName| self.shard_of.get(host) == Some(shard);
+        for (_, commands) in self.commands.iter_mut().filter(|(host, _)| here(host)) {
+            commands.orders.retain(|order| starts && !matches!(order, Order::Run { .. }));
+        }
+    }
+
+    fn forget(&mut self, host: &HostName) {
+        self.fleet.machines.remove(host);
+        self.shard_of.remove(host);
+        self.commands.remove(host);
+        self.news.remove(host);
+        self.alive.remove(host);
+    }
+
+    /// Notes who leads. A new leader is told of all machines at once.
+    pub fn note_leader(&mut self, leader: Option<(String, u64)>, now: Duration) {
+        let Some((host, token)) = leader else { return };
+        if self.leader.as_ref().is_some_and(|known| known.token >= token) {
+            return;
+        }
+        self.leader = Some(KnownLeader { host, token, since: now, unsupported: false });
+        self.restart_stream();
+        self.report_due = now;
+        // Orders of a former leader are void from here on, whoever renews the records.
+        for commands in self.commands.values_mut() {
+            commands.orders.clear();
+        }
+    }
+
+    /// All machines are told of anew, under new numbers.
+    fn restart_stream(&mut self) {
+        self.stream += 1;
+        self.numbers = Numbers::default();
+        self.alive.clear();
+        self.news = self.fleet.machines.keys().cloned().collect();
+    }
+
+    /// The epoch under which this node acts for a shard.
+    pub fn epoch(&self, shard: &ShardId, now: Duration) -> Option<u64> {
+        let held = self.shards.get(shard)?;
+        let current = self.leader.as_ref().is_none_or(|leader| {
+            let renewed = held.term >= leader.token;
+            renewed || !leader.unsupported && now.saturating_sub(leader.since) < FORMER_TERM
+        });
+        current.then_some(held.epoch)
+    }
+
+    /// Whether a report should wait until the jobs are read.
+    pub fn reads(&self) -> bool {
+        self.jobs.reads()
+    }
+
+    fn sight(&self, standing: Standing) -> Sight {
+        Sight { jobs: self.jobs.seen, records: standing.records }
+    }
+
+    /// Answers a report of a machine in one of the shards. `adrift`: neither the state
+    /// service nor another controller is heard.
+    pub fn beat(
+        &mut self,
+        times: Times,
+        report: &Report,
+        (shard, epoch): (ShardId, u64),
+        (relayed, adrift): (bool, bool),
+        standing: Standing,
+    ) -> Answer {
+        let now = times.now;
+        let sight = self.sight(standing);
+        let heard = self.hear(now, report, (shard, epoch), false);
+        let settings = &self.settings;
+        if !sight.may_renew(now, settings.lease, settings.cancel) {
+            return Answer::Unavailable { retry: Duration::from_secs(1) };
+        }
+        let orders = self.orders(&report.host, sight, now);
+        let Some(machine) = self.fleet.machines.get_mut(&report.host).filter(|_| heard != Heard::Old) else {
+            // A copy gets no orders, nor counts as heard.
+            return Answer::Beat { token: epoch, orders: Vec::new() };
+        };
+        machine.relayed = relayed;
+        if machine.is_sent_off(adrift, self.settings.lease, now) {
+            return Answer::Elsewhere { foreman: None };
+        }
+        machine.note_answer(&orders, now);
+        Answer::Beat { token: epoch, orders }
+    }
+
+    /// Takes in a report; `ours`: it answers a command of ours.
+    fn hear(&mut self, now: Duration, report: &Report, (shard, epoch): (ShardId, u64), ours: bool) -> Heard {
+        let heard = match ours {
+            true => self.fleet.answered(report, epoch, now),
+            false => self.fleet.observe(report, epoch, now),
+        };
+        let host = &report.host;
+        match heard {
+            Heard::Old => return heard,
+            Heard::Same => {
+                if self.alive.is_empty() {
+                    self.alive_since = now;
+                }
+                self.alive.insert(host.clone());
+            }
+            Heard::News => {
+                self.news.insert(host.clone());
+            }
+        }
+        self.shard_of.insert(host.clone(), shard);
+        self.settle_commands(report);
+        heard
+    }
+
+    pub fn tick(&mut self, times: Times, standing: Standing, out: &mut Out) {
+        let now = times.now;
+        self.behind = standing.behind;
+        self.jobs.tick(now, out);
+        if now >= self.look_due {
+            self.look_due = now + LOOK;
+            let silent = |machine: &&Machine| now.saturating_sub(machine.heard) > FORGET;
+            let silent: Vec<HostName> =
+                self.fleet.machines.values().filter(silent).map(|machine| machine.name.clone()).collect();
+            silent.iter().for_each(|host| self.forget(host));
+            self.inquire(now, out);
+        }
+        self.hasten(now);
+        self.report(now, standing, out);
+    }
+
+    pub fn next_due(&self) -> Duration {
+        let jobs = self.jobs.next_due().unwrap_or(Duration::MAX);
+        let report = if self.reporting { Duration::MAX } else { self.report_due };
+        let look = if self.fleet.machines.is_empty() { Duration::MAX } else { self.look_due };
+        jobs.min(report).min(look)
+    }
+
+    pub fn state_reply(
+        &mut self,
+        now: Duration,
+        step: jobs::Step,
+        reply: Result<StateReply, CallError>,
+        requests: &mut RequestHandler,
+        standing: Standing,
+        out: &mut Out,
+    ) {
+        if self.jobs.reply(now, step, reply, requests) {
+            self.tell_kills(now, standing, out);
+        }
+    }
+
+    /// The machines' newest reports, for the leader that this node becomes.
+    pub fn machines(&self) -> impl Iterator<Item = &Machine> {
+        self.fleet.machines.values()
+    }
+
+    pub fn view(&self, now: Duration) -> serde_json::Value {
+        let shards: Vec<serde_json::Value> = self
+            .shards
+            .iter()
+            .map(|(shard, held)| {
+                let machines = self.shard_of.values().filter(|of| *of == shard).count();
+                serde_json::json!({"shard": shard.to_string(), "epoch": held.epoch, "term": held.term,
+                    "releasing": held.releasing, "machines": machines,
+                    "acts": self.epoch(shard, now).is_some()})
+            })
+            .collect();
+        serde_json::json!({"shards": shards, "refused": self.refused,
+            "jobsSeenS": self.jobs.seen.map(|at| now.saturating_sub(at).as_secs_f64())})
+    }
+}
--- /dev/null
+++ b/crates/plankhead-core/src/holder/reporting.rs
@@ -0,0 +1,113 @@
+//! What a holder tells the leader.
+
+use super::*;
+use crate::shard_messages::{Delivery, HeldShard, HolderReport, MachineNews, ShardMessage, MAX_MACHINES};
+use roaring::RoaringBitmap;
+
+/// Between two messages with news.
+const NEWS_PAUSE: Duration = Duration::from_millis(50);
+/// Between two messages without news.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Until a message is repeated that did not arrive.
+const RETRY: Duration = Duration::from_millis(250);
+/// A holder that has not seen the records for so long would not notice that a shard was
+/// taken from it.
+const RECORDS_SEEN: Duration = Duration::from_secs(5);
+
+impl Holder {
+    /// Sends the next message, if one is due and none is under way.
+    pub(super) fn report(&mut self, now: Duration, standing: Standing, out: &mut Out) {
+        if self.reporting || now < self.report_due {
+            return;
+        }
+        let Some(KnownLeader { host: leader, token, .. }) = self.leader.clone() else {
+            self.report_due = now + HEARTBEAT;
+            return;
+        };
+        let news = self.take_news(now);
+        let machines: Vec<HostName> = news.iter().map(|news| news.report.host.clone()).collect();
+        let alive = std::mem::take(&mut self.alive);
+        let numbers: RoaringBitmap = alive.iter().filter_map(|host| self.numbers.get(host)).collect();
+        self.sequence += 1;
+        self.reporting = true;
+        self.report_sent = now;
+        let report = HolderReport {
+            host: self.settings.host.clone(),
+            stamp: Stamp { boot: self.settings.boot, sequence: self.sequence },
+            zone: self.settings.zone.clone(),
+            term: token,
+            sees_records: standing.records.is_some_and(|at| now.saturating_sub(at) < RECORDS_SEEN),
+            shards: self.held_shards(now),
+            stream: self.stream,
+            news,
+            alive: numbers,
+            alive_age: now.saturating_sub(self.alive_since),
+        };
+        let call = HolderCall::Report { leader: token, machines };
+        out.shard_message(Purpose::Holder(call), leader, ShardMessage::Report(Box::new(report)));
+    }
+
+    fn held_shards(&self, now: Duration) -> Vec<HeldShard> {
+        let untold = |shard: &ShardId| self.news.iter().any(|host| self.shard_of.get(host) == Some(shard));
+        let held = self.shards.iter().filter(|(shard, _)| self.epoch(shard, now).is_some());
+        let told = held.map(|(shard, held)| HeldShard {
+            shard: shard.clone(),
+            epoch: held.epoch,
+            released: held.releasing && !untold(shard),
+        });
+        told.collect()
+    }
+
+    fn take_news(&mut self, now: Duration) -> Vec<MachineNews> {
+        let hosts: Vec<HostName> = self.news.iter().take(MAX_MACHINES).cloned().collect();
+        let mut told = Vec::with_capacity(hosts.len());
+        for host in hosts {
+            self.news.remove(&host);
+            self.alive.remove(&host);
+            let Some(number) = self.numbers.assign(&host) else {
+                self.restart_stream();
+                return Vec::new();
+            };
+            let Some(machine) = self.fleet.machines.get(&host) else { continue };
+            let Some(report) = &machine.report else { continue };
+            told.push(MachineNews {
+                number,
+                report: report.clone(),
+                proven: machine.proven,
+                deaf: machine.leaving == Some(Leaving::Deaf),
+                unanswered: machine.unanswered,
+                age: now.saturating_sub(machine.heard),
+            });
+        }
+        told
+    }
+
+    /// What became of a message.
+    pub fn reported(&mut self, now: Duration, leader: u64, machines: Vec<HostName>, delivery: Delivery) {
+        self.reporting = false;
+        let known = self.leader.as_mut().filter(|known| known.token == leader);
+        // Of an earlier leader, which all machines are told of anew since.
+        let Some(known) = known else { return };
+        known.unsupported = delivery == Delivery::Unsupported;
+        if delivery == Delivery::Taken {
+            self.report_due = now + HEARTBEAT;
+            self.hasten(now);
+            return;
+        }
+        let there = machines.into_iter().filter(|host| self.fleet.machines.contains_key(host));
+        self.news.extend(there);
+        self.report_due = now + RETRY;
+    }
+
+    /// News has come: the next message need not wait for the heartbeat.
+    pub fn hasten(&mut self, now: Duration) {
+        if !self.news.is_empty() && !self.reporting {
+            self.report_due = self.report_due.min(now.max(self.report_sent + NEWS_PAUSE));
+        }
+    }
+
+    /// How many shards a zone has, by the shards that this node holds.
+    pub(super) fn shards_of_zone(&self, zone: &str) -> u32 {
+        self.shards_per_zone.get(zone).copied().unwrap_or(1)
+    }
+}
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -2,8 +2,6 @@
 
 use super::*;
 
-/// Machines asked at a time why their reports are late.
-const MOST_INQUIRIES: usize = 64;
 /// What a release takes at the most, usually.
 const RELEASE: Duration = Duration::from_secs(3);
 
@@ -68,6 +66,7 @@
             self.to_lay = self.ledger.lay_anew(tasks_per_chunk(self.settings.value_bytes));
         }
         self.advance_duties(times, sight, out);
+        self.tick_shards(now, firm, requests, out);
         if firm {
             self.flush(now, requests, out);
         }
@@ -235,20 +234,13 @@
 
     /// Asks machines whose reports are late directly whether they are there.
     fn inquire(&mut self, now: Duration, out: &mut Out) {
-        let asked = self.fleet.machines.values().filter(|m| m.busy).count();
-        let late = self.fleet.late(now, self.settings.gap());
-        for host in late.into_iter().take(MOST_INQUIRIES.saturating_sub(asked)) {
+        for host in self.fleet.to_inquire(now, self.settings.gap(), |machine| self.commands(machine)) {
+            let token = self.token_for(&host);
             let Some(machine) = self.fleet.machines.get_mut(&host) else { continue };
             let Some(shift) = machine.shift() else { continue };
-            machine.busy = true;
-            let leader_call = LeaderCall::Orders { host, shift, runs: Vec::new() };
-            out.orders(
-                Purpose::Leader(self.token, leader_call),
-                machine.address.clone(),
-                self.token,
-                shift,
-                Vec::new(),
-            );
+            let address = machine.begin_command(&[]);
+            let call = Purpose::Leader(self.token, LeaderCall::Orders { host, shift, runs: Vec::new() });
+            out.orders(call, address, token, shift, Vec::new());
         }
     }
 }
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -8,6 +8,7 @@
 mod renting;
 mod replies;
 mod rounds;
+mod shards;
 mod takeover;
 mod view;
 mod workers;
@@ -35,8 +36,11 @@
 use plankhead_fencing::record::PageId;
 use plankhead_reachability::mode::Mode;
 use plankhead_reachability::permission::{Action, Bound, Permission};
+use plankhead_sharding::registry::RecordWrite;
+use plankhead_sharding::shard::ShardId;
 pub use renting::PendingRental;
 use serde::{Deserialize, Serialize};
+pub use shards::LeaderRoute;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -126,6 +130,16 @@
         shift: u64,
         runs: Vec<(TaskId, u64)>,
     },
+    WriteShards {
+        writes: Vec<RecordWrite>,
+        sent: Duration,
+    },
+    /// Commands for machines of shards that another node holds.
+    ShardOrders {
+        to: String,
+        machines: Vec<HostName>,
+        fresh: BTreeSet<ShardId>,
+    },
 }
 
 /// A chunk as it is stored: of which job, whether laid anew, its number, its value
@@ -271,6 +285,8 @@
     arrivals: VecDeque<(Duration, Arc<JobSpec>)>,
     /// When the service's first job came; zero if that was before this leader.
     opened: Option<Duration>,
+    /// Who holds which machines, where they are divided.
+    shards: Option<shards::LeaderShards>,
 }
 
 impl Leader {
@@ -339,6 +355,7 @@
             cloud_heard: None,
             arrivals: VecDeque::new(),
             opened: None,
+            shards: settings.sharding.enabled.then(|| shards::LeaderShards::new(&settings, token, now)),
             settings,
         }
     }
--- a/crates/plankhead-core/src/leader/permissions.rs
+++ b/crates/plankhead-core/src/leader/permissions.rs
@@ -50,13 +50,13 @@
         let machine = self.fleet.machines.get(&report.host)?;
         machine.answered?;
         let later = machine.newest.is_some_and(|newest| (report.shift, report.tick) > newest);
-        later.then_some(report.token == self.token)
+        later.then_some(report.token >= self.token)
     }
 
     /// Machines that should report to this leader.
     pub fn machines_up(&self) -> usize {
         if self.stage == Stage::Ready {
-            self.fleet.machines.values().filter(|machine| machine.up()).count()
+            self.fleet.machines.values().filter(|machine| machine.up() && self.commands(machine)).count()
         } else {
             0
         }
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -19,6 +19,9 @@
             LeaderCall::ReadTarget => self.loaded_target(times, reply, out),
             LeaderCall::ListDuties => self.loaded_duties(times, reply, out),
             LeaderCall::WriteDuties { sent } => return self.duties_written(now, sent, reply, out),
+            LeaderCall::WriteShards { writes, sent } => {
+                return self.shards_written(now, (writes, sent), reply, out);
+            }
             LeaderCall::ReadDuties { page, sent } => self.duties_reread(now, page, sent, reply),
             LeaderCall::Follow { sent } => {
                 self.following = false;
@@ -232,13 +235,7 @@
     pub fn orders_reply(&mut self, times: Times, leader_call: LeaderCall, reply: OrdersReply, out: &mut Out) {
         let LeaderCall::Orders { host, shift, runs } = leader_call else { return };
         let Some(machine) = self.fleet.machines.get_mut(&host) else { return };
-        machine.busy = false;
-        if !matches!(reply, OrdersReply::Answered(_)) {
-            machine.unanswered += 1;
-        }
-        if !matches!(reply, OrdersReply::Unanswered) {
-            machine.unconfirmed_runs.retain(|(t, n, s)| *s != shift || !runs.contains(&(t.clone(), *n)));
-        }
+        machine.end_command(shift, &runs, &reply);
         if let OrdersReply::Answered(report) = reply {
             if report.host == host {
                 self.hear(times, &report, true, out);
--- a/crates/plankhead-core/src/leader/view.rs
+++ b/crates/plankhead-core/src/leader/view.rs
@@ -120,6 +120,7 @@
             "lateOrStuck": jobs,
             "gangsWaiting": gangs,
             "fencing": self.duties.view(),
+            "sharding": self.shards_view(now),
         })
     }
 }
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -42,36 +42,33 @@
         }
         let host = report.host.clone();
         let heard = self.hear(times, &report, false, out);
+        let token = self.token_for(&host);
         let orders = self.orders(now, &host, requests);
         let Some(machine) = self.fleet.machines.get_mut(&host).filter(|_| heard != Heard::Old) else {
             // A copy gets no orders, nor counts as heard.
-            return Answer::Beat { token: self.token, orders: Vec::new() };
+            return Answer::Beat { token, orders: Vec::new() };
         };
         machine.relayed = relayed;
         if !relayed {
             machine.direct = now;
         }
-        // Who finds no other leader comes back before its lease runs out.
-        let patience = self.settings.lease.mul_f64(0.6);
-        if adrift && machine.sent_off.is_none_or(|at| now.saturating_sub(at) > patience) {
-            machine.sent_off = Some(now);
+        if machine.is_sent_off(adrift, self.settings.lease, now) {
             return Answer::Elsewhere { foreman: None };
         }
-        for order in &orders {
+        machine.note_answer(&orders, now);
+        self.note_offers(&orders);
+        Answer::Beat { token, orders }
+    }
+
+    /// Notes which attempts a worker may have been told to run from now on.
+    pub(super) fn note_offers(&mut self, orders: &[Order]) {
+        for order in orders {
             if let Order::Run { task, .. } = order {
                 if let Some(attempt) = self.ledger.attempt_mut(task) {
                     attempt.offered = true;
                 }
             }
         }
-        // The first that a new leader hears of a machine may be an old copy, of an earlier
-        // session: its answer reaches nobody, and who then reports a later session or
-        // nothing of what was asked is not deaf for that.
-        if machine.proven {
-            machine.answered = Some(now);
-            machine.asked = orders.iter().filter_map(Order::asked).collect();
-        }
-        Answer::Beat { token: self.token, orders }
     }
 
     /// Takes in a report; `ours`: it answers a command of ours.
@@ -93,7 +90,7 @@
     pub(super) fn observe(&mut self, times: Times, report: &Report, heard: Heard, out: &mut Out) {
         let now = times.now;
         let (ended, lost) = match heard {
-            Heard::News => self.ledger.observe(report, report.token == self.token, now),
+            Heard::News => self.ledger.observe(report, report.token >= self.token, now),
             _ => Default::default(),
         };
         if lost > 0 {
@@ -196,10 +193,9 @@
             let attempt = *attempt;
             if matches!(seen, Seen::Ended(_)) {
                 // A direct `run` under way would start a forgotten attempt anew.
-                let unconfirmed_runs =
-                    machine.unconfirmed_runs.iter().any(|(t, n, _)| t == task && *n == attempt);
+                let unconfirmed = machine.has_unconfirmed_run(task, attempt);
                 let over = !self.ledger.jobs.contains_key(&task.job) && requests.is_over(&task.job);
-                if reaps && !unconfirmed_runs && (over || self.ledger.may_reap(task, attempt)) {
+                if reaps && !unconfirmed && (over || self.ledger.may_reap(task, attempt)) {
                     orders.push(Order::Reap { task: task.clone(), attempt });
                 }
             } else if let Some(leeway) = self.unwanted(host, task, attempt, requests).filter(|_| kills) {
@@ -291,13 +287,11 @@
     /// kills, each once. The answers to reports repeat what got lost.
     pub(super) fn tell(&mut self, now: Duration, host: &HostName, out: &mut Out) {
         let Some(machine) = self.fleet.machines.get(host) else { return };
-        let Some(shift) = machine.shift() else { return };
-        if machine.busy || machine.address.is_empty() || machine.leaving.is_some() {
-            return;
+        if !self.commands(machine) {
+            return self.order_due(host);
         }
-        // Who reaches us only through a sibling is not reached by us either: a
-        // command might be held and carried out long after.
-        if machine.relayed {
+        let Some(shift) = machine.shift() else { return };
+        if !machine.takes_commands() {
             return;
         }
         let told = |t: &TaskId| self.ledger.attempt(t).is_some_and(|a| a.told);
@@ -340,12 +334,11 @@
             let after = now.saturating_sub(self.began).as_millis();
             out.log(Level::Info, format!("first starts {after} ms after it leads"));
         }
+        let token = self.token_for(host);
         let Some(machine) = self.fleet.machines.get_mut(host) else { return };
-        machine.busy = true;
-        machine.unconfirmed_runs.extend(runs.iter().map(|(t, n)| (t.clone(), *n, shift)));
-        let address = machine.address.clone();
+        let address = machine.begin_command(&runs);
         let leader_call = LeaderCall::Orders { host: host.clone(), shift, runs };
-        out.orders(Purpose::Leader(self.token, leader_call), address, self.token, shift, orders);
+        out.orders(Purpose::Leader(self.token, leader_call), address, token, shift, orders);
     }
 
     /// Tells the machines of gangs that are to end, all at once.
--- a/crates/plankhead-core/src/node.rs
+++ b/crates/plankhead-core/src/node/mod.rs
@@ -1,24 +1,30 @@
 //! One controller node: requests of users, the election, and the leader's role
 //! while it has it.
 
-use crate::election::{self, Election, Verdict};
+mod out;
+mod shards;
+mod workers;
+
+use crate::election::{Election, Verdict};
 use crate::job::JobId;
 use crate::leader::{Leader, LeaderCall, Sight};
 use crate::portions::Portions;
 use crate::protocol::{
-    Answer, Ask, Call, CallError, CloudOp, CloudReply, Effect, Event, HostName, Level, Order, Progress,
-    Pulse, Report, Rig, StateOp, StateReply,
+    Answer, Ask, Call, CallError, CloudOp, CloudReply, Effect, Event, HostName, Level, Progress, Pulse,
+    Report, Rig, StateReply,
 };
-use crate::reach::{LeaderFacts, Reach, ReachCall};
+use crate::reach::{LeaderFacts, Reach};
 use crate::requests::{PendingRequest, RequestHandler};
 use crate::settings::Settings;
-use crate::version_barrier::{self, VersionBarrier};
+use crate::version_barrier::VersionBarrier;
+pub use out::{Out, Purpose, Times};
 use plankhead_fencing::token::TokenGuard;
 use plankhead_reachability::coverage::{Coverage, CoverageFault, KnownHolder};
 use plankhead_reachability::mode::Mode;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
+use workers::Held;
 
 /// How often siblings hear from a node.
 const PULSE: Duration = Duration::from_secs(1);
@@ -39,18 +45,6 @@
 /// fleets of four thousand machines.
 pub const MOST_PROGRESS_READ: usize = 8_192;
 
-/// A worker that comes back this long after it was sent to the leader has not
-/// reached it; after the longer time it says nothing.
-const SENT: Duration = Duration::from_secs(1);
-const SENT_LIFE: Duration = Duration::from_secs(15);
-const MOST_SENT: usize = 10_000;
-
-/// How long a report waits for a leader that still reads, its worker waiting for 4 s
-/// and a sibling that passed it on for 1.5 s; and how many do.
-const HOLD: Duration = Duration::from_millis(2500);
-const HOLD_RELAYED: Duration = Duration::from_secs(1);
-const MOST_HELD: usize = 16_384;
-
 /// A process whose timers are later than this is behind.
 const BEHIND: Duration = Duration::from_millis(100);
 
@@ -62,98 +56,6 @@
 /// A step that nothing asked for comes at least this long after the one before.
 const LEAST_WAKE: Duration = Duration::from_millis(10);
 
-/// What a call was for.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Purpose {
-    Election(election::Step),
-    VersionBarrier(version_barrier::Step),
-    RequestHandler(PendingRequest),
-    /// Under a token, so that replies to an earlier term are ignored.
-    Leader(u64, LeaderCall),
-    Reach(ReachCall),
-    Catalog,
-}
-
-/// Collects effects and remembers what replies are for.
-#[derive(Debug, Default)]
-pub struct Out {
-    pub effects: Vec<Effect>,
-    calls: HashMap<Call, Purpose>,
-    last: Call,
-}
-
-impl Out {
-    fn call(&mut self, purpose: Purpose) -> Call {
-        self.last += 1;
-        self.calls.insert(self.last, purpose);
-        self.last
-    }
-
-    pub fn state(&mut self, purpose: Purpose, op: StateOp) {
-        let call = self.call(purpose);
-        self.effects.push(Effect::State { call, op });
-    }
-
-    pub fn cloud(&mut self, purpose: Purpose, op: CloudOp) {
-        let call = self.call(purpose);
-        self.effects.push(Effect::Cloud { call, op });
-    }
-
-    pub fn orders(
-        &mut self,
-        purpose: Purpose,
-        address: Arc<str>,
-        token: u64,
-        shift: u64,
-        orders: Vec<Order>,
-    ) {
-        let call = self.call(purpose);
-        self.effects.push(Effect::Orders { call, address, token, shift, orders });
-    }
-
-    pub fn answer(&mut self, ask: Ask, answer: Answer) {
-        self.effects.push(Effect::Answer { ask, answer });
-    }
-
-    pub fn log(&mut self, level: Level, text: String) {
-        self.effects.push(Effect::Log(level, text));
-    }
-}
-
-/// The times at which a batch is handled: the steady clock and the time of day.
-#[derive(Debug, Clone, Copy)]
-pub struct Times {
-    /// On a clock that starts well above zero.
-    pub now: Duration,
-    pub wall: SystemTime,
-}
-
-impl Times {
-    pub fn wall_ms(&self) -> u64 {
-        let since = self.wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        since.as_millis() as u64
-    }
-
-    /// When that time of day was, on the steady clock.
-    pub fn at_wall(&self, ms: u64) -> Duration {
-        let wall = self.wall_ms();
-        if ms >= wall {
-            self.now
-        } else {
-            self.now.saturating_sub(Duration::from_millis(wall - ms))
-        }
-    }
-}
-
-/// A report that waits until a new leader has read what is known.
-#[derive(Debug)]
-struct Held {
-    ask: Ask,
-    report: Report,
-    relayed: bool,
-    until: Duration,
-}
-
 #[derive(Debug)]
 pub struct Node {
     settings: Arc<Settings>,
@@ -178,6 +80,8 @@
     lag: Duration,
     /// When the reach is looked at next.
     reach_due: Duration,
+    /// Its part in divided machines, where they are.
+    sharding: Option<Box<shards::Sharding>>,
     /// What this node reaches; made at the first step, which has the time.
     reach: Option<Reach>,
 }
@@ -185,6 +89,8 @@
 impl Node {
     pub fn new(settings: Settings) -> Self {
         let settings = Arc::new(settings);
+        let divided = settings.sharding.enabled;
+        let sharding = divided.then(|| Box::new(shards::Sharding::new(settings.clone())));
         Self {
             requests: RequestHandler::new(settings.clone()),
             election: Election::new(
@@ -208,6 +114,7 @@
             lag: Duration::ZERO,
             reach_due: Duration::ZERO,
             reach: None,
+            sharding,
         }
     }
 
@@ -311,7 +218,11 @@
         let dues =
             [self.election.next_due(), self.version_barrier.next_due(), catalog, held, waiting, leader];
         let reach = self.reach.as_ref().map(|reach| reach.next_due(now));
-        let next = dues.into_iter().chain([reach]).flatten().fold(self.pulse_due, Duration::min);
+        let next = dues
+            .into_iter()
+            .chain([reach, self.sharding_due()])
+            .flatten()
+            .fold(self.pulse_due, Duration::min);
         next.max(now + LEAST_WAKE)
     }
 
@@ -325,10 +236,7 @@
             Event::Poll { ask, id } => self.requests.poll(now, ask, id, &mut self.out),
             Event::Abort { ask, id } => self.requests.abort(now, ask, id, &mut self.out),
             Event::Beat { ask, report, relayed } => {
-                if self.leader.as_ref().is_some_and(Leader::reads) && self.held.len() < MOST_HELD {
-                    let until = times.now + if relayed { HOLD_RELAYED } else { HOLD };
-                    return self.held.push(Held { ask, report, relayed, until });
-                }
+                let Some(report) = self.hold(now, ask, report, relayed) else { return };
                 let answer = self.beat(times, report, relayed);
                 self.out.answer(ask, answer);
             }
@@ -369,6 +277,8 @@
                         }
                     }
                     Some(Purpose::RequestHandler(request)) => self.request(times, request, reply),
+                    Some(Purpose::Records(step)) => self.records_reply(now, step, reply),
+                    Some(Purpose::Holder(call)) => self.holder_state_reply(now, call, reply),
                     Some(Purpose::Leader(token, leader_call)) => {
                         if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
                             if !leader.state_reply(
@@ -404,12 +314,21 @@
                 if let Some(reach) = &mut self.reach {
                     reach.orders_reply(call, &reply, now);
                 }
-                if let Some(Purpose::Leader(token, leader_call)) = self.out.calls.remove(&call) {
-                    if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
-                        leader.orders_reply(times, leader_call, reply, &mut self.out);
+                match self.out.calls.remove(&call) {
+                    Some(Purpose::Leader(token, leader_call)) => {
+                        if let Some(leader) = self.leader.as_mut().filter(|l| l.token == token) {
+                            leader.orders_reply(times, leader_call, reply, &mut self.out);
+                        }
                     }
+                    Some(Purpose::Holder(call)) => self.holder_orders_reply(now, call, reply),
+                    _ => {}
                 }
             }
+            Event::Shard { ask, message } => {
+                let delivery = self.shard_message(times, message);
+                self.out.answer(ask, Answer::Shard(delivery));
+            }
+            Event::ShardTold { call, delivery } => self.shard_told(now, call, delivery),
             Event::Pulse(pulse) => self.pulse(times, pulse),
             Event::Coverage(coverage) => self.coverage(now, coverage),
             Event::PeerTold { host, confirmed } => {
@@ -457,10 +376,12 @@
                 }
                 leader.load(times.now, &mut self.out);
                 self.leader = Some(leader);
+                self.holder_leads(times);
             }
             Verdict::Lost => {
                 self.out.log(Level::Info, "leads no more".into());
                 self.leader = None;
+                self.holder_resumes();
                 if let Some(reach) = &mut self.reach {
                     reach.leads_no_more();
                 }
@@ -468,64 +389,6 @@
         }
     }
 
-    fn beat(&mut self, times: Times, report: Report, relayed: bool) -> Answer {
-        let now = times.now;
-        self.tokens.learn(report.token);
-        self.note_report(&report, relayed, now);
-        let adrift = !self.election.firm(now) && !self.company(now);
-        if let Some(leader) = &mut self.leader {
-            if report.token <= leader.token {
-                return leader.beat(times, report, (relayed, adrift), &self.requests, &mut self.out);
-            }
-            // A worker has seen a later token than ours.
-            let verdict = self.election.lost();
-            self.verdict(times, verdict);
-        }
-        let least = report.token.max(self.highest_token());
-        let Some((token, foreman)) = self.foreman(now, least) else {
-            return Answer::Elsewhere { foreman: None };
-        };
-        // Who knows the leader's token, or was sent there and is back, can't
-        // reach it.
-        let back = |(to, at): &(u64, Duration)| {
-            let since = now.saturating_sub(*at);
-            *to == token && since > SENT && since < SENT_LIFE
-        };
-        let known = token == report.token || self.sent.get(&report.host).is_some_and(back);
-        if known && !relayed {
-            return Answer::Relay { foreman };
-        }
-        if self.sent.len() >= MOST_SENT {
-            self.sent.retain(|_, (_, at)| now.saturating_sub(*at) < SENT_LIFE);
-        }
-        if self.sent.len() < MOST_SENT {
-            self.sent.insert(report.host, (token, now));
-        }
-        Answer::Elsewhere { foreman: Some(foreman) }
-    }
-
-    /// What a report tells of the links to workers.
-    fn note_report(&mut self, report: &Report, relayed: bool, now: Duration) {
-        let Some(reach) = &mut self.reach else { return };
-        reach.report(&report.host, relayed, now);
-        if let Some(shown) = self.leader.as_ref().and_then(|leader| leader.answer_shown(report)) {
-            reach.answer_shown(shown, now);
-        }
-    }
-
-    /// Answers the reports that waited for the leader to read, once it has or has
-    /// failed to.
-    fn release_held(&mut self, times: Times) {
-        let reads = self.leader.as_ref().is_some_and(Leader::reads);
-        let (due, held): (Vec<Held>, Vec<Held>) =
-            std::mem::take(&mut self.held).into_iter().partition(|h| !reads || times.now >= h.until);
-        self.held = held;
-        for Held { ask, report, relayed, .. } in due {
-            let answer = self.beat(times, report, relayed);
-            self.out.answer(ask, answer);
-        }
-    }
-
     /// Whether a sibling was heard lately.
     fn company(&self, now: Duration) -> bool {
         self.siblings.values().any(|(at, _)| now.saturating_sub(*at) < PULSE_LIFE)
@@ -619,6 +482,7 @@
             self.out.cloud(Purpose::Catalog, CloudOp::Catalog);
         }
         self.requests.tick(times, &mut self.out);
+        self.tick_sharding(times);
         let sight = Sight {
             firm: self.election.firm(now),
             steady: self.election.steady(now),
@@ -675,6 +539,7 @@
             "foreman": self.foreman(times.now, 0).map(|(_, host)| host),
             "tokens": {"highest": self.tokens.highest(), "refused": self.tokens.refused()},
             "siblings": siblings,
+            "sharding": self.sharding_view(times.now),
             "reachability": self.reach.as_ref().map(|reach| reach.view(times.now)),
         })
     }
--- /dev/null
+++ b/crates/plankhead-core/src/node/workers.rs
@@ -0,0 +1,126 @@
+//! Reports of workers: who answers them, and what waits.
+
+use super::shards::HolderRoute;
+use super::*;
+use crate::leader::LeaderRoute;
+
+/// A worker that comes back this long after it was sent to the leader has not
+/// reached it; after the longer time it says nothing.
+const SENT: Duration = Duration::from_secs(1);
+const SENT_LIFE: Duration = Duration::from_secs(15);
+const MOST_SENT: usize = 10_000;
+
+/// How long a report waits for a leader that still reads, its worker waiting for 4 s
+/// and a sibling that passed it on for 1.5 s; and how many do.
+const HOLD: Duration = Duration::from_millis(2500);
+const HOLD_RELAYED: Duration = Duration::from_secs(1);
+const MOST_HELD: usize = 16_384;
+
+/// A report that waits until a new leader has read what is known.
+#[derive(Debug)]
+pub(super) struct Held {
+    ask: Ask,
+    report: Report,
+    relayed: bool,
+    pub until: Duration,
+}
+
+impl Node {
+    /// Has a report wait for whoever is to answer it here to read; gives it back where that
+    /// is not needed.
+    pub(super) fn hold(&mut self, now: Duration, ask: Ask, report: Report, relayed: bool) -> Option<Report> {
+        if self.held.len() >= MOST_HELD || !self.must_wait(&report, now) {
+            return Some(report);
+        }
+        let until = now + if relayed { HOLD_RELAYED } else { HOLD };
+        self.held.push(Held { ask, report, relayed, until });
+        None
+    }
+}
+
+impl Node {
+    pub(super) fn beat(&mut self, times: Times, report: Report, relayed: bool) -> Answer {
+        let now = times.now;
+        // A shard's epoch is above its leader's token and says nothing of other shards.
+        if self.sharding.is_none() {
+            self.tokens.learn(report.token);
+        }
+        self.note_report(&report, relayed, now);
+        let adrift = !self.election.firm(now) && !self.company(now);
+        if let Some(leader) = &mut self.leader {
+            match leader.route(&report) {
+                LeaderRoute::Own => {
+                    return leader.beat(times, report, (relayed, adrift), &self.requests, &mut self.out);
+                }
+                LeaderRoute::Holder { host, epoch } => {
+                    return self.redirect(now, report, (epoch, host), relayed)
+                }
+                LeaderRoute::Doubt => return Answer::Unavailable { retry: Duration::from_secs(1) },
+                LeaderRoute::Superseded => {}
+            }
+            // A worker has seen a later token than ours.
+            let verdict = self.election.lost();
+            self.verdict(times, verdict);
+        }
+        match self.holder_route(&report, now) {
+            HolderRoute::Own { shard, epoch } => {
+                return self.beat_as_holder(times, &report, (shard, epoch), relayed);
+            }
+            HolderRoute::Other { host, epoch } => return self.redirect(now, report, (epoch, host), relayed),
+            HolderRoute::Leader => {}
+        }
+        let least = report.token.max(self.highest_token());
+        match self.foreman(now, least) {
+            Some(leader) => self.redirect(now, report, leader, relayed),
+            None => Answer::Elsewhere { foreman: None },
+        }
+    }
+
+    /// Sends a worker to the node that acts for it, or passes its report on there.
+    fn redirect(
+        &mut self,
+        now: Duration,
+        report: Report,
+        (token, foreman): (u64, String),
+        relayed: bool,
+    ) -> Answer {
+        // Who knows that node's token, or was sent there and is back, can't reach it.
+        let back = |(to, at): &(u64, Duration)| {
+            let since = now.saturating_sub(*at);
+            *to == token && since > SENT && since < SENT_LIFE
+        };
+        let known = token == report.token || self.sent.get(&report.host).is_some_and(back);
+        if known && !relayed {
+            return Answer::Relay { foreman };
+        }
+        if self.sent.len() >= MOST_SENT {
+            self.sent.retain(|_, (_, at)| now.saturating_sub(*at) < SENT_LIFE);
+        }
+        if self.sent.len() < MOST_SENT {
+            self.sent.insert(report.host, (token, now));
+        }
+        Answer::Elsewhere { foreman: Some(foreman) }
+    }
+
+    /// What a report tells of the links to workers.
+    fn note_report(&mut self, report: &Report, relayed: bool, now: Duration) {
+        let Some(reach) = &mut self.reach else { return };
+        reach.report(&report.host, relayed, now);
+        if let Some(shown) = self.leader.as_ref().and_then(|leader| leader.answer_shown(report)) {
+            reach.answer_shown(shown, now);
+        }
+    }
+
+    /// Answers the reports that waited for the leader to read, once it has or has
+    /// failed to.
+    pub(super) fn release_held(&mut self, times: Times) {
+        let (held, due): (Vec<Held>, Vec<Held>) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition(|held| times.now < held.until && self.must_wait(&held.report, times.now));
+        self.held = held;
+        for Held { ask, report, relayed, .. } in due {
+            let answer = self.beat(times, report, relayed);
+            self.out.answer(ask, answer);
+        }
+    }
+}
--- a/crates/plankhead-core/src/protocol.rs
+++ b/crates/plankhead-core/src/protocol.rs
@@ -1,6 +1,7 @@
 //! Events that the core takes and effects that it asks for.
 
 use crate::job::{JobId, JobSpec, Phase};
+use crate::shard_messages::{Delivery, ShardFault, ShardMessage};
 use plankhead_fencing::gate::Permitted;
 use plankhead_reachability::coverage::{Coverage, CoverageFault};
 use serde::{Deserialize, Serialize};
@@ -49,6 +50,16 @@
     Pulse(Pulse),
     /// What a peer tells of its reach, or why its message was refused.
     Coverage(Result<Box<Coverage>, CoverageFault>),
+    /// A message of a peer about shards, or why it was refused.
+    Shard {
+        ask: Ask,
+        message: Result<ShardMessage, ShardFault>,
+    },
+    /// What became of a message about shards.
+    ShardTold {
+        call: Call,
+        delivery: Delivery,
+    },
     /// What came of telling a peer something.
     PeerTold {
         host: String,
@@ -85,6 +96,12 @@
     Pulse(Pulse),
     /// Tells every sibling of this node's reach.
     Coverage(Box<Coverage>),
+    /// Tells one sibling something about shards; what becomes of it comes back.
+    Shard {
+        call: Call,
+        to: String,
+        message: ShardMessage,
+    },
     Log(Level, String),
 }
 
@@ -143,6 +160,8 @@
         foreman: String,
     },
     View(serde_json::Value),
+    /// What became of a peer's message about shards.
+    Shard(Delivery),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/plankhead-core/src/settings.rs
+++ b/crates/plankhead-core/src/settings.rs
@@ -1,6 +1,7 @@
 //! What the core must know of its deployment.
 
 use plankhead_reachability::settings::Settings as Reachability;
+use plankhead_sharding::settings::Settings as Sharding;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -68,6 +69,8 @@
 #[derive(Debug, Clone)]
 pub struct Settings {
     pub host: String,
+    /// Where this node is.
+    pub zone: String,
     /// Tells one start of this process from another.
     pub boot: u64,
     pub nodes: usize,
@@ -93,6 +96,7 @@
     pub sizing: Sizing,
     pub fencing: Fencing,
     pub reachability: Reachability,
+    pub sharding: Sharding,
 }
 
 /// What a worker that got no answer needs until it is heard again: 4 s to notice,
--- /dev/null
+++ b/crates/plankhead-core/src/shard_messages.rs
@@ -0,0 +1,115 @@
+//! What the leader and the holders of shards tell each other.
+
+use crate::protocol::{HostName, Order, Report};
+use plankhead_sharding::sequence::Stamp;
+use plankhead_sharding::shard::ShardId;
+use roaring::RoaringBitmap;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Machines that one message tells of at most; the others have the next one.
+pub const MAX_MACHINES: usize = 400;
+/// Shards that one message names at most.
+pub const MAX_SHARDS: usize = 4_096;
+
+/// A message on the path for shards.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ShardMessage {
+    Report(Box<HolderReport>),
+    Orders(Box<LeaderOrders>),
+}
+
+/// What a controller tells the leader of the shards that it holds; without shards, that it
+/// is there to hold some.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HolderReport {
+    pub host: String,
+    pub stamp: Stamp,
+    /// Where the controller is.
+    pub zone: String,
+    /// The token of the leader that it is meant for.
+    pub term: u64,
+    /// Whether it sees the records, so that it notices when a shard is taken from it.
+    pub sees_records: bool,
+    pub shards: Vec<HeldShard>,
+    /// Tells one numbering of machines from another.
+    pub stream: u64,
+    /// Machines of which something is new.
+    pub news: Vec<MachineNews>,
+    /// Numbers of machines that reported with nothing new.
+    pub alive: RoaringBitmap,
+    /// How long ago the first of these was heard.
+    pub alive_age: Duration,
+}
+
+/// A shard as its holder sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldShard {
+    pub shard: ShardId,
+    pub epoch: u64,
+    /// Nothing of it is started any more, and all news of it is told.
+    pub released: bool,
+}
+
+/// A machine's newest report, and what its holder knows beside that.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MachineNews {
+    /// The machine's number in the stream.
+    pub number: u32,
+    pub report: Report,
+    /// The machine is there for certain: it has shown a token of this holder.
+    pub proven: bool,
+    /// It does not hear what it is told.
+    pub deaf: bool,
+    /// Commands in a row that it did not answer.
+    pub unanswered: u32,
+    /// How long ago it was heard.
+    pub age: Duration,
+}
+
+/// What the leader has a holder tell its machines.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LeaderOrders {
+    pub host: String,
+    pub stamp: Stamp,
+    /// The leader's token.
+    pub token: u64,
+    /// The shards that the leader takes the receiver to hold, with their epochs.
+    pub shards: Vec<(ShardId, u64)>,
+    /// All that each of these machines is to be told; replaces what was said before.
+    pub machines: Vec<MachineOrders>,
+    /// What is known of machines of shards that the receiver holds only now.
+    pub snapshot: Vec<Report>,
+}
+
+/// All commands for a machine in one session of its worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MachineOrders {
+    pub host: HostName,
+    pub shift: u64,
+    pub orders: Vec<Order>,
+}
+
+/// What became of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivery {
+    /// Taken in.
+    Taken,
+    /// Refused: its receiver is not whom it is meant for, or not yet.
+    NotTaken,
+    /// Its receiver does not divide machines.
+    Unsupported,
+    /// Without an answer; it may come late.
+    Lost,
+}
+
+/// Why a message was refused before it reached the core.
+#[derive(Debug, Error, Clone, PartialEq, Eq)]
+pub enum ShardFault {
+    #[error("it is too large")]
+    TooLarge,
+    #[error("it can't be read: {0}")]
+    Malformed(String),
+    #[error("a field is out of range: {0}")]
+    Range(&'static str),
+}
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -47,6 +47,7 @@
     let team = Team { cpus: 16.0, cpus_max: 16.0, gpus: 0.0, gpus_max: 0.0 };
     Settings {
         host: "plank-0".into(),
+        zone: "x".into(),
         boot: 1,
         nodes: 2,
         siblings: vec!["plank-1".into()],
@@ -67,6 +68,7 @@
         sizing: Sizing::default(),
         fencing: Fencing::default(),
         reachability: Default::default(),
+        sharding: Default::default(),
     }
 }
 
--- a/crates/plankhead-core/tests/upgrade.rs
+++ b/crates/plankhead-core/tests/upgrade.rs
@@ -203,6 +203,7 @@
 fn settings() -> Settings {
     Settings {
         host: "plank-0".into(),
+        zone: "x".into(),
         boot: 1,
         nodes: 3,
         siblings: vec!["plank-1".into(), "plank-2".into()],
@@ -223,6 +224,7 @@
         sizing: Sizing::default(),
         fencing: Fencing::default(),
         reachability: Default::default(),
+        sharding: Default::default(),
     }
 }
 
--- a/crates/plankhead-core/tests/world/kv.rs
+++ b/crates/plankhead-core/tests/world/kv.rs
@@ -53,6 +53,12 @@
         self.keys.iter().filter(move |(key, _)| key.starts_with(&prefix)).map(|(_, v)| v.text.as_str())
     }
 
+    /// Keys that begin so, with their values and revisions.
+    pub fn rows(&self, prefix: &str) -> Vec<(String, String, u64)> {
+        let here = self.keys.iter().filter(|(key, _)| key.starts_with(prefix));
+        here.map(|(key, v)| (key.clone(), v.text.clone(), v.stamp)).collect()
+    }
+
     /// How many tasks of the job have a placement in this attempt.
     pub fn placed(&self, id: &str, attempt: u64) -> u32 {
         let prefix = format!("run/{id}/");
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -7,6 +7,7 @@
 mod gang;
 mod kv;
 mod script;
+mod shards;
 mod worker;
 
 pub use fencing::{Clock, Effects, TRUE_CLOCK};
@@ -15,10 +16,12 @@
 use plankhead_core::node::{Node, Times};
 use plankhead_core::protocol::*;
 use plankhead_core::settings::{Fencing, Settings, Sizing, Team};
+use plankhead_core::shard_messages::Delivery;
 use plankhead_reachability::coverage::Coverage;
 use plankhead_reachability::mode::Mode;
 use plankhead_reachability::permission::PermissionTable;
 use plankhead_reachability::settings::Settings as Reachability;
+use plankhead_sharding::settings::Settings as Sharding;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 pub use script::{Blow, Moment, Odd};
@@ -55,6 +58,10 @@
     pub fenced: bool,
     /// Whether the nodes judge what they reach.
     pub reach: bool,
+    /// Whether the nodes divide the machines.
+    pub shards: bool,
+    /// How often a shard is moved whatever the balance.
+    pub rotate: Option<Duration>,
 }
 
 /// A few machines that report every second.
@@ -74,6 +81,8 @@
     look: Duration::ZERO,
     fenced: false,
     reach: false,
+    shards: false,
+    rotate: None,
 };
 
 /// Hundreds of machines that report seldom and fail by the dozen.
@@ -93,6 +102,8 @@
     look: ms(250),
     fenced: false,
     reach: false,
+    shards: false,
+    rotate: None,
 };
 
 pub const fn ms(n: u64) -> Duration {
@@ -425,6 +436,12 @@
         sent: Duration,
         report: Box<Report>,
     },
+    /// Another node's message about shards.
+    Shard {
+        node: usize,
+        boot: u64,
+        call: Call,
+    },
 }
 
 pub struct World {
@@ -507,6 +524,14 @@
     link_cuts: Vec<cuts::LinkCut>,
     /// How often the key changed hands.
     pub terms: u32,
+    /// Messages about shards that were sent.
+    pub shard_messages: u32,
+    /// How often a shard changed hands.
+    pub shard_moves: u32,
+    /// By whom each shard was last held.
+    shard_holders: BTreeMap<String, String>,
+    /// Which node told each machine something under each token.
+    told_by: HashMap<(HostName, u64), usize>,
     /// Nodes whose `apart` concerns the other half of the machines.
     pub other_half: [bool; 3],
     pub clocks: [Clock; 3],
@@ -541,6 +566,7 @@
     let team = Team { cpus: kind.cap * 2.0 / 3.0, cpus_max: kind.cap, gpus: 0.0, gpus_max: 0.0 };
     Settings {
         host: name(node),
+        zone: zone_of(node).into(),
         boot,
         nodes: 3,
         siblings: (0..3).filter(|n| *n != node).map(name).collect(),
@@ -565,6 +591,7 @@
             table: table.clone(),
             ..Reachability::default()
         },
+        sharding: Sharding { enabled: kind.shards && !old, rotate: kind.rotate, ..Sharding::default() },
     }
 }
 
@@ -576,6 +603,10 @@
     pub fn of(mut kind: Kind, seed: u64, troubles: Troubles) -> Self {
         kind.fenced |= std::env::var_os("WORLD_FENCED").is_some();
         kind.reach |= std::env::var_os("WORLD_REACH").is_some();
+        kind.shards |= std::env::var_os("WORLD_SHARDS").is_some();
+        if let Some(every) = std::env::var("WORLD_MOVES").ok().and_then(|ms| ms.parse().ok()) {
+            kind.rotate = Some(ms(every));
+        }
         let mut world = Self {
             now: EPOCH,
             rng: StdRng::seed_from_u64(seed),
@@ -630,6 +661,10 @@
             table: PermissionTable::standard(),
             link_cuts: Vec::new(),
             terms: 0,
+            shard_messages: 0,
+            shard_moves: 0,
+            shard_holders: BTreeMap::new(),
+            told_by: HashMap::new(),
             other_half: [false; 3],
             clocks: [TRUE_CLOCK; 3],
             effects: Effects::default(),
@@ -1196,6 +1231,10 @@
                 self.at(held, late);
                 Event::Orders { call, reply: OrdersReply::Unanswered }
             }
+            Effect::Shard { call, to, message } => {
+                self.late_shard_message(held, &to, message);
+                Event::ShardTold { call, delivery: Delivery::Lost }
+            }
             _ => return,
         };
         self.at(ms(1200), Happening::ToNode { node, boot, event: reply });
@@ -1224,6 +1263,10 @@
         match effect {
             Effect::Answer { ask, answer } => {
                 if let Answer::Beat { token, orders } = &answer {
+                    if let Some((_, Asked::Beat { host, .. })) = self.asks.get(&(node, boot, ask)) {
+                        let host = host.clone();
+                        self.acts(node, host, *token);
+                    }
                     self.sent(*token, orders);
                 }
                 if let Some((since, asked)) = self.asks.remove(&(node, boot, ask)) {
@@ -1276,6 +1319,7 @@
                 assert!(!starts || self.lag.is_zero(), "a start of its own while behind");
                 self.sent(token, &orders);
                 let host: HostName = address.as_ref().trim_start_matches("at-").into();
+                self.acts(node, host.clone(), token);
                 let held = self.troubles.held > 0.0 && self.chance(self.troubles.held);
                 let delay = if held { self.between(1000, 9000) } else { self.between(1, 5) };
                 if delay > secs(2) {
@@ -1300,6 +1344,7 @@
                 }
             }
             Effect::Coverage(coverage) => self.tell_coverage(node, boot, coverage),
+            Effect::Shard { call, to, message } => self.shard_message((node, boot, call), &to, message),
             Effect::Log(_, text) => {
                 if self.log {
                     println!("{:.3} plank-{node} {text}", (self.now - EPOCH).as_secs_f64());
--- a/crates/plankhead-core/tests/world/script.rs
+++ b/crates/plankhead-core/tests/world/script.rs
@@ -26,6 +26,10 @@
     DutyWritten,
     /// A leader asks the cloud for what can't be taken back.
     CloudCalled,
+    /// The state service wrote that a shard is to move.
+    MoveBegun,
+    /// The state service wrote who holds a shard.
+    HolderNamed,
 }
 
 /// A moment, how many more of them until it counts, and what happens so long after.
@@ -130,6 +134,8 @@
                 let holder = key.split('/').nth(1).and_then(|token| token.parse().ok());
                 assert_eq!(self.kv.stamp("lead"), holder, "{key} was written without its holder's lease");
                 self.moment(Moment::DutyWritten);
+            } else if key.starts_with("shard/") {
+                self.record_written(key, value);
             } else if key.starts_with("run/") {
                 self.moment(Moment::Placed);
             } else if key.starts_with("job/") && value.contains("\"phase\":\"done\"") {
--- /dev/null
+++ b/crates/plankhead-core/tests/world/shards.rs
@@ -0,0 +1,91 @@
+//! Messages between controllers about shards, as the network has them: lost, late, refused.
+
+use super::*;
+use plankhead_core::shard_messages::ShardMessage;
+
+/// Until a message without an answer is given up.
+const PATIENCE: Duration = secs(1);
+
+fn node_of(name: &str) -> usize {
+    name.trim_start_matches("plank-").parse().unwrap()
+}
+
+impl World {
+    /// A node sends another one a message; what becomes of it comes back.
+    pub(super) fn shard_message(
+        &mut self,
+        (node, boot, call): (usize, u64, Call),
+        to: &str,
+        message: ShardMessage,
+    ) {
+        let other = node_of(to);
+        self.shard_messages += 1;
+        let told = |delivery| Happening::ToNode { node, boot, event: Event::ShardTold { call, delivery } };
+        let alone = self.alone[node].max(self.alone[other]);
+        let open = self.now >= self.node_cut[other].max(alone) && self.peers_reach(node, other);
+        if !open {
+            return self.at(PATIENCE, told(Delivery::Lost));
+        }
+        let Some((peer_boot, _)) = &self.nodes[other] else { return self.at(ms(4), told(Delivery::Lost)) };
+        let peer_boot = *peer_boot;
+        if self.old[other] {
+            return self.at(ms(4), told(Delivery::Unsupported));
+        }
+        let troubles = self.troubles;
+        if troubles.held > 0.0 && self.chance(troubles.held) {
+            let late = self.between(1000, 9000);
+            self.late_shard_message(late, to, message);
+            return self.at(PATIENCE, told(Delivery::Lost));
+        }
+        let way = if self.chance(troubles.lost) { self.between(200, 900) } else { ms(2) };
+        self.last_ask += 1;
+        let ask = self.last_ask;
+        self.asks.insert((other, peer_boot, ask), (self.now, Asked::Shard { node, boot, call }));
+        let event = Event::Shard { ask, message: Ok(message) };
+        self.at(way, Happening::ToNode { node: other, boot: peer_boot, event });
+        let again = Box::new(told(Delivery::Lost));
+        self.at(PATIENCE, Happening::Unanswered { node: other, boot: peer_boot, ask, again });
+    }
+
+    /// A message arrives when its sender has long given it up.
+    pub(super) fn late_shard_message(&mut self, late: Duration, to: &str, message: ShardMessage) {
+        let other = node_of(to);
+        let Some((boot, _)) = &self.nodes[other] else { return };
+        let boot = *boot;
+        self.last_ask += 1;
+        let event = Event::Shard { ask: self.last_ask, message: Ok(message) };
+        self.at(late, Happening::ToNode { node: other, boot, event });
+    }
+
+    pub(super) fn shard_answered(&mut self, (node, boot, call): (usize, u64, Call), answer: Answer) {
+        let Answer::Shard(delivery) = answer else { panic!("a message about shards gets {answer:?}") };
+        self.at(ms(2), Happening::ToNode { node, boot, event: Event::ShardTold { call, delivery } });
+    }
+
+    /// The holders of all shards, by the records, and their epochs.
+    pub fn holders(&self) -> BTreeMap<String, (usize, u64)> {
+        let rows = self.kv.rows("shard/");
+        let holder = |(key, value, revision): (String, String, u64)| {
+            let record = plankhead_sharding::record::Record::read(&value).unwrap();
+            (key, (node_of(&record.holder), record.epoch(revision)))
+        };
+        rows.into_iter().map(holder).collect()
+    }
+}
+
+impl World {
+    /// A node tells a machine something: under each token, only one node ever does.
+    pub(super) fn acts(&mut self, node: usize, host: HostName, token: u64) {
+        let first = *self.told_by.entry((host.clone(), token)).or_insert(node);
+        assert_eq!(first, node, "two nodes tell {host} something under {token}");
+    }
+
+    /// A record of a shard was written: by the holder of the lease alone.
+    pub(super) fn record_written(&mut self, key: &str, value: &str) {
+        let record = plankhead_sharding::record::Record::read(value).unwrap();
+        assert_eq!(self.kv.stamp("lead"), Some(record.term), "{key} was written without the lease");
+        let before = self.shard_holders.insert(key.to_owned(), record.holder.clone());
+        self.shard_moves += u32::from(before.is_some_and(|before| before != record.holder));
+        self.moment(if record.moving.is_some() { Moment::MoveBegun } else { Moment::HolderNamed });
+    }
+}
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -229,6 +229,7 @@
                     self.at(ms(1), Happening::BeatAnswered { host, sent, shift, tick, answer });
                 }
             }
+            Asked::Shard { node, boot, call } => self.shard_answered((node, boot, call), answer),
             Asked::Submit(job) => self.submit_answered(job, answer),
             Asked::Odd { odd, known } => self.odd_answered(odd, known, answer),
             Asked::Poll(0) if self.troubles.unheard => self.at(secs(2), Happening::Poll { job: 0 }),
--- a/crates/plankhead-sharding/src/sight.rs
+++ b/crates/plankhead-sharding/src/sight.rs
@@ -5,8 +5,10 @@
 /// What a holder's answers end sooner than leases and cancellations ask for: for the drift
 /// of clocks and for what is under way.
 const MARGIN: Duration = Duration::from_secs(2);
-/// No starts once the jobs were not seen afresh for this long.
-const START_WITHIN: Duration = Duration::from_secs(4);
+/// No starts once the jobs were not seen afresh for this long: a watch's second, and as much
+/// again and a half for a slow answer. A holder has no renewals that would tell it sooner
+/// that the state service fails it.
+const START_WITHIN: Duration = Duration::from_millis(2500);
 
 /// When a holder last saw the jobs and the records whole. Each time is when the read was
 /// asked for, never when it was answered.
--- a/crates/plankhead/src/config.rs
+++ b/crates/plankhead/src/config.rs
@@ -320,6 +320,7 @@
         },
         fencing: Fencing::default(),
         reachability: Default::default(),
+        sharding: Default::default(),
     };
     Config {
         api: r.address(root, "api_addr"),
