--- a/crates/plankhead-core/src/fleet.rs
+++ b/crates/plankhead-core/src/fleet.rs
@@ -29,6 +29,8 @@
 const MOST_INQUIRIES: usize = 64;
 /// The share of a lease in which a worker is sent to look for another node once.
 const SENT_OFF: f64 = 0.6;
+/// Lists in a row that lack a machine that is there after all.
+const MOST_UNLISTED: u32 = 2;
 /// One machine in so many is few.
 const FEW: usize = 50;
 /// What a peer tells of a machine is believed for so long.
@@ -155,6 +157,11 @@
         self.proven && self.leaving.is_none()
     }
 
+    /// Whether the cloud has left it out of its list long enough to be gone.
+    pub fn is_unlisted(&self) -> bool {
+        self.unlisted >= MOST_UNLISTED
+    }
+
     /// Whether a task placed there now might wait: its report is late, or what it
     /// was told last does not show.
     pub fn doubtful(&self, now: Duration, gap: Duration) -> bool {
@@ -531,7 +538,7 @@
                 (now.saturating_sub(machine.since) > patience && quiet > silent).then_some(Leaving::NeverUp)
             } else if (quiet > silent || mute) && !spared {
                 Some(Leaving::Silent)
-            } else if machine.unlisted >= 2 && quiet > missed.max(silent / 2) {
+            } else if machine.is_unlisted() && quiet > missed.max(silent / 2) {
                 Some(Leaving::Unlisted)
             } else if machine.errors >= MOST_ERRORS {
                 Some(Leaving::Faulty)
--- a/crates/plankhead-core/src/holder/commands.rs
+++ b/crates/plankhead-core/src/holder/commands.rs
@@ -13,7 +13,9 @@
         out: &mut Out,
     ) -> bool {
         let known = self.leader.as_ref().map_or(0, |leader| leader.token);
-        if message.token < known || self.guard.admit(&message.host, message.stamp).is_err() {
+        let sent = self.sent.iter().find(|(sequence, _)| *sequence == message.answers);
+        let late = sent.is_none_or(|(_, at)| now.saturating_sub(*at) > ORDERS_LIFE);
+        if late || message.token < known || self.guard.admit(&message.host, message.stamp).is_err() {
             self.refused += 1;
             return false;
         }
@@ -26,6 +28,7 @@
                 return false;
             }
         }
+        message.gone.iter().for_each(|host| self.forget(host));
         let named: BTreeSet<&ShardId> = message.shards.iter().map(|(shard, _)| shard).collect();
         let snapshot: Vec<&Report> = message.snapshot.iter().collect();
         for report in snapshot {
--- a/crates/plankhead-core/src/holder/jobs.rs
+++ b/crates/plankhead-core/src/holder/jobs.rs
@@ -35,6 +35,16 @@
     failed: bool,
     pending: bool,
     due: Duration,
+    news: JobNews,
+}
+
+/// What a reply brought.
+#[derive(Debug, Default)]
+pub struct JobNews {
+    /// Jobs were cancelled.
+    pub cancelled: bool,
+    /// Jobs of which nothing is to be started any more, whatever was ordered.
+    pub over: BTreeSet<JobId>,
 }
 
 impl JobSight {
@@ -70,16 +80,15 @@
         out.state(Purpose::Holder(super::HolderCall::Jobs(step)), op);
     }
 
-    /// Handles a reply; true if cancellations are news.
+    /// Handles a reply, and tells what it brought.
     pub fn reply(
         &mut self,
         now: Duration,
         step: Step,
         reply: Result<StateReply, CallError>,
         requests: &mut RequestHandler,
-    ) -> bool {
+    ) -> JobNews {
         self.pending = false;
-        let before = self.cancelled.len();
         match (step, reply) {
             (Step::List { sent }, Ok(StateReply::Page { rows, truncated, epoch })) => {
                 self.page_after = rows.last().map(|row| row.key.clone());
@@ -106,7 +115,7 @@
                 self.restart();
             }
         }
-        self.cancelled.len() > before
+        std::mem::take(&mut self.news)
     }
 
     fn saw(&mut self, sent: Duration) {
@@ -127,6 +136,7 @@
             KeyEvent::Dropped { key, .. } => {
                 if let Some(id) = job_of(&key) {
                     self.cancelled.remove(&id);
+                    self.news.over.insert(id);
                 }
             }
         }
@@ -137,10 +147,13 @@
         let Ok(record) = serde_json::from_str::<JobRecord>(&row.value) else { return };
         match record.phase {
             Phase::Live => {}
-            Phase::Done => requests.over(&id, Status::Done, record.tasks),
+            Phase::Done => {
+                requests.over(&id, Status::Done, record.tasks);
+                self.news.over.insert(id);
+            }
             Phase::Cancelled => {
                 requests.over(&id, Status::Cancelled, 0);
-                self.cancelled.insert(id);
+                self.news.cancelled |= self.cancelled.insert(id);
             }
         }
     }
--- a/crates/plankhead-core/src/holder/mod.rs
+++ b/crates/plankhead-core/src/holder/mod.rs
@@ -22,7 +22,7 @@
 use plankhead_sharding::shard::ShardId;
 use plankhead_sharding::sight::Sight;
 use plankhead_sharding::table::ShardTable;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +33,11 @@
 const FORMER_TERM: Duration = Duration::from_secs(15);
 /// A machine that was not heard for so long is forgotten here; the leader judges it.
 const FORGET: Duration = Duration::from_secs(60);
+/// A leader's message is refused if it does not answer one that was sent within this time:
+/// it may have been held up for minutes.
+const ORDERS_LIFE: Duration = Duration::from_secs(3);
+/// Messages whose time of sending is remembered.
+const MAX_SENT: usize = 64;
 /// How often machines are looked through.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -96,6 +101,8 @@
     numbers: Numbers,
     stream: u64,
     sequence: u64,
+    /// When the latest messages were sent, by their numbers.
+    sent: VecDeque<(u64, Duration)>,
     reporting: bool,
     report_sent: Duration,
     report_due: Duration,
@@ -109,6 +116,8 @@
 pub struct Standing {
     /// When the records of shards were last seen.
     pub records: Option<Duration>,
+    /// The state service has failed this node for some time.
+    pub failing: bool,
     pub behind: bool,
 }
 
@@ -131,6 +140,7 @@
             numbers: Numbers::default(),
             stream: 0,
             sequence: 0,
+            sent: VecDeque::new(),
             reporting: false,
             report_sent: Duration::ZERO,
             report_due: Duration::ZERO,
@@ -318,7 +328,13 @@
         standing: Standing,
         out: &mut Out,
     ) {
-        if self.jobs.reply(now, step, reply, requests) {
+        let news = self.jobs.reply(now, step, reply, requests);
+        if !news.over.is_empty() {
+            let over =
+                |order: &Order| matches!(order, Order::Run { task, .. } if news.over.contains(&task.job));
+            self.commands.values_mut().for_each(|commands| commands.orders.retain(|order| !over(order)));
+        }
+        if news.cancelled {
             self.tell_kills(now, standing, out);
         }
     }
--- a/crates/plankhead-core/src/holder/reporting.rs
+++ b/crates/plankhead-core/src/holder/reporting.rs
@@ -30,13 +30,18 @@
         let numbers: RoaringBitmap = alive.iter().filter_map(|host| self.numbers.get(host)).collect();
         self.sequence += 1;
         self.reporting = true;
+        self.sent.push_back((self.sequence, now));
+        if self.sent.len() > MAX_SENT {
+            self.sent.pop_front();
+        }
         self.report_sent = now;
         let report = HolderReport {
             host: self.settings.host.clone(),
             stamp: Stamp { boot: self.settings.boot, sequence: self.sequence },
             zone: self.settings.zone.clone(),
             term: token,
-            sees_records: standing.records.is_some_and(|at| now.saturating_sub(at) < RECORDS_SEEN),
+            sees_records: !standing.failing
+                && standing.records.is_some_and(|at| now.saturating_sub(at) < RECORDS_SEEN),
             shards: self.held_shards(now),
             stream: self.stream,
             news,
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -132,10 +132,12 @@
         }
     }
 
-    /// Whether some worker was heard lately, or none could be.
+    /// Whether some worker was heard lately, or none could be: those of machines that the
+    /// cloud lists no more are not there, whatever fails this node.
     pub(super) fn in_contact(&self, now: Duration) -> bool {
         let recent = self.settings.gap() + Duration::from_secs(1);
-        let mut up = self.fleet.machines.values().filter(|m| m.up()).peekable();
+        let there = |m: &&Machine| m.up() && !m.is_unlisted();
+        let mut up = self.fleet.machines.values().filter(there).peekable();
         up.peek().is_none() || up.any(|m| now.saturating_sub(m.heard) < recent)
     }
 
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -37,10 +37,9 @@
 use plankhead_reachability::mode::Mode;
 use plankhead_reachability::permission::{Action, Bound, Permission};
 use plankhead_sharding::registry::RecordWrite;
-use plankhead_sharding::shard::ShardId;
 pub use renting::PendingRental;
 use serde::{Deserialize, Serialize};
-pub use shards::LeaderRoute;
+pub use shards::{LeaderRoute, ToldHolder};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -137,8 +136,7 @@
     /// Commands for machines of shards that another node holds.
     ShardOrders {
         to: String,
-        machines: Vec<HostName>,
-        fresh: BTreeSet<ShardId>,
+        told: ToldHolder,
     },
 }
 
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -211,6 +211,7 @@
                 for host in hosts {
                     self.releasing.remove(&host);
                     self.fleet.released(&host);
+                    self.machine_gone(&host);
                     let freed = self.ledger.host_gone(&host, now);
                     if freed > 0 {
                         out.log(Level::Debug, format!("{host} is gone with {freed} tasks"));
--- a/crates/plankhead-core/src/leader/shards.rs
+++ b/crates/plankhead-core/src/leader/shards.rs
@@ -47,10 +47,22 @@
     sent: HashMap<HostName, (u64, Vec<Order>)>,
     /// Shards that it holds only now: it is told what is known of their machines.
     fresh: BTreeSet<ShardId>,
+    /// Machines that were given back since.
+    gone: BTreeSet<HostName>,
+    /// The number of its latest message.
+    latest: u64,
     sending: bool,
     retry: Duration,
 }
 
+/// What a message told a holder, to be told again if it did not arrive.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct ToldHolder {
+    machines: Vec<HostName>,
+    fresh: BTreeSet<ShardId>,
+    gone: Vec<HostName>,
+}
+
 /// What a leader that divides machines has beside the rest.
 #[derive(Debug)]
 pub struct LeaderShards {
@@ -167,6 +179,7 @@
         }
         let peer = shards.peers.entry(message.host.clone()).or_default();
         peer.heard = now;
+        peer.latest = message.stamp.sequence;
         peer.zone = message.zone;
         peer.sees_records = message.sees_records;
         if peer.stream != message.stream {
@@ -254,7 +267,8 @@
     fn flush_orders(&mut self, now: Duration, requests: &RequestHandler, out: &mut Out) {
         let Some(shards) = &self.shards else { return };
         let ready = |(_, peer): &(&String, &Peer)| {
-            !peer.sending && now >= peer.retry && !(peer.due.is_empty() && peer.fresh.is_empty())
+            let due = !(peer.due.is_empty() && peer.fresh.is_empty() && peer.gone.is_empty());
+            due && !peer.sending && now >= peer.retry
         };
         let ready: Vec<String> = shards.peers.iter().filter(ready).map(|(host, _)| host.clone()).collect();
         for host in ready {
@@ -300,7 +314,8 @@
         let Some(peer) = shards.peers.get_mut(to) else { return };
         peer.due.retain(|host| !due.contains(host));
         peer.fresh.retain(|shard| !fresh.contains(shard));
-        if machines.is_empty() && snapshot.is_empty() {
+        let gone: Vec<HostName> = std::mem::take(&mut peer.gone).into_iter().collect();
+        if machines.is_empty() && snapshot.is_empty() && gone.is_empty() {
             return;
         }
         peer.sending = true;
@@ -311,12 +326,15 @@
         let message = LeaderOrders {
             host: self.settings.host.clone(),
             stamp: Stamp { boot: self.settings.boot, sequence },
+            answers: peer.latest,
             token: self.token,
             shards: held,
             machines,
+            gone: gone.clone(),
             snapshot,
         };
-        let call = LeaderCall::ShardOrders { to: to.to_owned(), machines: told, fresh };
+        let told = ToldHolder { machines: told, fresh, gone };
+        let call = LeaderCall::ShardOrders { to: to.to_owned(), told };
         let message = ShardMessage::Orders(Box::new(message));
         out.shard_message(Purpose::Leader(self.token, call), to.to_owned(), message);
     }
@@ -340,22 +358,27 @@
     }
 
     /// What became of a message to a holder.
-    pub fn orders_told(
-        &mut self,
-        now: Duration,
-        to: &str,
-        (machines, fresh): (Vec<HostName>, BTreeSet<ShardId>),
-        delivery: Delivery,
-    ) {
+    pub fn orders_told(&mut self, now: Duration, to: &str, told: ToldHolder, delivery: Delivery) {
         let Some(peer) = self.shards.as_mut().and_then(|shards| shards.peers.get_mut(to)) else { return };
         peer.sending = false;
         if delivery != Delivery::Taken {
             peer.retry = now + RETRY;
-            for host in machines {
+            for host in told.machines {
                 peer.sent.remove(&host);
                 peer.due.insert(host);
             }
-            peer.fresh.extend(fresh);
+            peer.fresh.extend(told.fresh);
+            peer.gone.extend(told.gone);
+        }
+    }
+
+    /// The cloud has taken a machine back: whoever held it forgets it.
+    pub(super) fn machine_gone(&mut self, host: &HostName) {
+        for peer in self.shards.iter_mut().flat_map(|shards| shards.peers.values_mut()) {
+            peer.due.remove(host);
+            if peer.sent.remove(host).is_some() {
+                peer.gone.insert(host.clone());
+            }
         }
     }
 
--- a/crates/plankhead-core/src/node/shards.rs
+++ b/crates/plankhead-core/src/node/shards.rs
@@ -10,7 +10,9 @@
 use plankhead_sharding::shard::ShardId;
 
 /// A record that was not seen for so long says nothing of who holds a shard now.
-const ADRIFT: Duration = Duration::from_secs(4);
+const ADRIFT: Duration = Duration::from_secs(5);
+/// The state service must have failed a node for this long before it says so.
+const FAILING: Duration = Duration::from_secs(1);
 /// How long records of a former leader's term tell where a worker should go.
 const FORMER_TERM: Duration = Duration::from_secs(15);
 
@@ -44,9 +46,10 @@
 }
 
 impl Node {
-    fn standing(&self) -> Standing {
+    fn standing(&self, now: Duration) -> Standing {
         let records = self.sharding.as_ref().and_then(|sharding| sharding.records.seen);
-        Standing { records, behind: self.lag > BEHIND }
+        let failing = self.state_bad.is_some_and(|since| now.saturating_sub(since) > FAILING);
+        Standing { records, failing, behind: self.lag > BEHIND }
     }
 
     /// Where the table sends a report of this machine.
@@ -80,9 +83,10 @@
         of: (ShardId, u64),
         relayed: bool,
     ) -> Answer {
-        let standing = self.standing();
-        let blind = standing.records.is_none_or(|at| times.now.saturating_sub(at) > ADRIFT);
-        let adrift = blind && !self.company(times.now);
+        let now = times.now;
+        let standing = self.standing(now);
+        let blind = standing.records.is_none_or(|at| now.saturating_sub(at) > ADRIFT);
+        let adrift = blind && !self.company(now);
         let Some(sharding) = &mut self.sharding else { return Answer::Elsewhere { foreman: None } };
         sharding.holder.beat(times, report, of, (relayed, adrift), standing)
     }
@@ -98,7 +102,7 @@
 
     pub(super) fn tick_sharding(&mut self, times: Times) {
         let now = times.now;
-        let standing = self.standing();
+        let standing = self.standing(now);
         let leader = match &self.leader {
             Some(leader) => Some((self.settings.host.clone(), leader.token)),
             None => self.foreman(now, 0).map(|(token, host)| (host, token)),
@@ -143,13 +147,13 @@
         call: HolderCall,
         reply: Result<StateReply, CallError>,
     ) {
-        let standing = self.standing();
+        let standing = self.standing(now);
         let (Some(sharding), HolderCall::Jobs(step)) = (&mut self.sharding, call) else { return };
         sharding.holder.state_reply(now, step, reply, &mut self.requests, standing, &mut self.out);
     }
 
     pub(super) fn holder_orders_reply(&mut self, now: Duration, call: HolderCall, reply: OrdersReply) {
-        let standing = self.standing();
+        let standing = self.standing(now);
         let (Some(sharding), HolderCall::Orders { host, shift, runs }) = (&mut self.sharding, call) else {
             return;
         };
@@ -164,7 +168,7 @@
         times: Times,
         message: Result<ShardMessage, ShardFault>,
     ) -> Delivery {
-        let standing = self.standing();
+        let standing = self.standing(times.now);
         let Some(sharding) = &mut self.sharding else { return Delivery::Unsupported };
         match (message, &mut self.leader) {
             (Err(fault), _) => {
@@ -194,9 +198,9 @@
                     sharding.holder.reported(now, leader, machines, delivery);
                 }
             }
-            Some(Purpose::Leader(token, LeaderCall::ShardOrders { to, machines, fresh })) => {
+            Some(Purpose::Leader(token, LeaderCall::ShardOrders { to, told })) => {
                 if let Some(leader) = self.leader.as_mut().filter(|leader| leader.token == token) {
-                    leader.orders_told(now, &to, (machines, fresh), delivery);
+                    leader.orders_told(now, &to, told, delivery);
                 }
             }
             _ => {}
--- a/crates/plankhead-core/src/shard_messages.rs
+++ b/crates/plankhead-core/src/shard_messages.rs
@@ -72,12 +72,16 @@
 pub struct LeaderOrders {
     pub host: String,
     pub stamp: Stamp,
+    /// The number of the receiver's message that the leader took in last.
+    pub answers: u64,
     /// The leader's token.
     pub token: u64,
     /// The shards that the leader takes the receiver to hold, with their epochs.
     pub shards: Vec<(ShardId, u64)>,
     /// All that each of these machines is to be told; replaces what was said before.
     pub machines: Vec<MachineOrders>,
+    /// Machines that the cloud has taken back.
+    pub gone: Vec<HostName>,
     /// What is known of machines of shards that the receiver holds only now.
     pub snapshot: Vec<Report>,
 }
--- a/crates/plankhead-core/src/shard_records.rs
+++ b/crates/plankhead-core/src/shard_records.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 /// How long a watch waits before it is opened anew. Its return shows that nothing up to its
-/// start is unseen.
-const WATCH: Duration = Duration::from_secs(3);
+/// start is unseen, so that the sight of the records is up to twice as old.
+const WATCH: Duration = Duration::from_millis(1500);
 /// The pause after a failure.
 const PAUSE: Duration = Duration::from_millis(250);
 
--- a/crates/plankhead-core/tests/before/mod.rs
+++ b/crates/plankhead-core/tests/before/mod.rs
@@ -109,7 +109,7 @@
         "lead" => serde_json::from_str::<Holder>(value).is_ok(),
         // It lists `job/` and `run/`, follows `job/` and `lead`, and reads the rest by
         // name.
-        "node" | "duty" | "machines" => true,
+        "node" | "duty" | "machines" | "shard" => true,
         _ => false,
     }
 }
--- a/crates/plankhead-core/tests/histories.rs
+++ b/crates/plankhead-core/tests/histories.rs
@@ -9,7 +9,7 @@
 
 use plankhead_core::job::Urgency;
 use std::time::Duration;
-use world::{secs, Kind, Troubles, World, FLEET, SMALL};
+use world::{secs, Happening, Kind, Troubles, World, FLEET, SMALL};
 
 /// Plays histories and expects every job to come to its end.
 fn play(seeds: std::ops::Range<u64>, troubles: Troubles) {
@@ -385,3 +385,20 @@
         assert!(world.settled(), "seed {seed}");
     }
 }
+
+/// The only machine died, and the leader took its silence for its own fault: it neither gave
+/// the machine back nor rented another, for ever.
+#[test]
+fn the_only_machine_dies() {
+    for seed in 0..4 {
+        let kind = Kind { pool: 1, capacity: 1, ..SMALL };
+        let mut world = World::of(kind, seed, Troubles::default());
+        world.plan(1, secs(5));
+        let job = &mut world.jobs[0];
+        (job.spec.tasks, job.spec.scatter, job.runs) = (2, false, 40.0);
+        world.after(secs(25), Happening::Die);
+        world.run(secs(600));
+        let left: Vec<_> = world.jobs.iter().filter(|j| !j.done_or_cancelled()).map(|j| &j.id).collect();
+        assert!(left.is_empty(), "seed {seed}: unfinished {left:?}");
+    }
+}
--- a/crates/plankhead-core/tests/world/script.rs
+++ b/crates/plankhead-core/tests/world/script.rs
@@ -117,7 +117,12 @@
                     let job = &self.jobs[self.by_id[&task.job]];
                     let killed = |o: &Order| matches!(o, Order::Kill { task: t, attempt: n, .. } if t == task && n == attempt);
                     let late = job.cancelled.is_some_and(|at| self.now > at + UNSEEN);
-                    assert!(!late || orders.iter().any(killed), "ran_cancelled: {task:?} is told to run");
+                    assert!(
+                        !late || orders.iter().any(killed),
+                        "ran_cancelled: {task:?} is told to run under {token} at {:?}, cancelled at {:?}",
+                        self.now - EPOCH,
+                        job.cancelled.map(|at| at - EPOCH),
+                    );
                     self.moment(Moment::RunSent);
                 }
                 Order::Kill { .. } => self.moment(Moment::KillSent),
--- a/crates/plankhead-sharding/src/registry.rs
+++ b/crates/plankhead-sharding/src/registry.rs
@@ -14,7 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// How long a new leader waits for the former holders to be heard before it names others.
+/// How long a new leader waits for the other controllers to be heard before it names holders
+/// that no former leader has named.
 const SETTLE: Duration = Duration::from_millis(1500);
 
 /// Why a holder is named, or a move begins.
@@ -297,7 +298,9 @@
             let chosen = balance::choose(shard, &around.candidates, holdings)?;
             name(&chosen.host, reason)
         };
-        let Some(holder) = entry.state.holder() else { return choose(Reason::First) };
+        let Some(holder) = entry.state.holder() else {
+            return settled.then(|| choose(Reason::First)).flatten();
+        };
         let next = entry.state.next_holder();
         if entry.term != self.term {
             let former = [(next, Reason::Finished), (Some(holder), Reason::Renewed)];
