--- a/crates/plankhead-core/src/holder/commands.rs
+++ b/crates/plankhead-core/src/holder/commands.rs
@@ -20,6 +20,7 @@
             return false;
         }
         self.note_leader(Some((message.host.clone(), message.token)), now);
+        self.void_replaced(&message, out);
         for (shard, epoch) in &message.shards {
             // A record that this node has not read yet, or that another has replaced.
             let held = self.shards.get(shard);
@@ -34,14 +35,15 @@
         for report in snapshot {
             self.take_snapshot(now, report, &named);
         }
-        for MachineOrders { host, shift, orders } in message.machines {
-            if !self.shard_of.get(&host).is_some_and(|shard| named.contains(shard)) {
+        for MachineOrders { host, shard, shift, orders } in message.machines {
+            // A machine may not have been heard here yet: its commands wait for its report.
+            let Some((shard, _)) = message.shards.get(shard) else {
                 self.refused += 1;
                 continue;
-            }
-            let commands = self.commands.entry(host.clone()).or_default();
-            if commands.shift != shift {
-                *commands = Commands { shift, ..Commands::default() };
+            };
+            let commands = self.commands.entry(host.clone()).or_insert_with(|| Commands::new(shard, shift));
+            if commands.shift != shift || commands.shard != *shard {
+                *commands = Commands::new(shard, shift);
             }
             commands.orders = orders;
             self.tell(now, &host, standing, out);
@@ -49,6 +51,22 @@
         true
     }
 
+    /// Shards that the leader takes others to hold. Their records say so, too; who can't read
+    /// them acts no more all the same.
+    fn void_replaced(&mut self, message: &LeaderOrders, out: &mut Out) {
+        let listed = |shard: &ShardId, epoch: u64| message.shards.contains(&(shard.clone(), epoch));
+        let replaced = |(shard, held): &(&ShardId, &Held)| {
+            held.epoch < message.latest_epoch && !listed(shard, held.epoch)
+        };
+        let replaced: Vec<(ShardId, u64)> =
+            self.shards.iter().filter(replaced).map(|(shard, held)| (shard.clone(), held.epoch)).collect();
+        for (shard, epoch) in replaced {
+            if self.void.insert(shard.clone(), epoch) != Some(epoch) {
+                out.log(Level::Info, format!("shard {shard} is somebody else's: {} says so", message.host));
+            }
+        }
+    }
+
     /// What the leader knows of a machine in a shard that came to this node: enough to send
     /// commands, and no sign of life.
     fn take_snapshot(&mut self, now: Duration, report: &Report, named: &BTreeSet<&ShardId>) {
@@ -80,7 +98,8 @@
             _ => None,
         };
         let runs: Vec<(TaskId, u64)> = orders.iter().filter_map(run).collect();
-        let commands = self.commands.entry(host.clone()).or_default();
+        let Some(shard) = self.shard_of.get(host).cloned() else { return };
+        let commands = self.commands.entry(host.clone()).or_insert_with(|| Commands::new(&shard, shift));
         commands.told.extend(orders.iter().filter_map(Order::asked));
         let Some(machine) = self.fleet.machines.get_mut(host) else { return };
         let address = machine.begin_command(&runs);
--- a/crates/plankhead-core/src/holder/mod.rs
+++ b/crates/plankhead-core/src/holder/mod.rs
@@ -60,14 +60,21 @@
 }
 
 /// What the leader has a machine told in one session of its worker.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Commands {
+    shard: ShardId,
     shift: u64,
     orders: Vec<Order>,
     /// What was sent straight to the worker, once.
     told: BTreeSet<(TaskId, u64, bool)>,
 }
 
+impl Commands {
+    fn new(shard: &ShardId, shift: u64) -> Self {
+        Self { shard: shard.clone(), shift, orders: Vec::new(), told: BTreeSet::new() }
+    }
+}
+
 /// The leader as a holder knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct KnownLeader {
@@ -84,6 +91,9 @@
     jobs: JobSight,
     fleet: Fleet,
     shards: BTreeMap<ShardId, Held>,
+    /// Epochs of shards that the leader has given to others since, although this node can't
+    /// read their records.
+    void: BTreeMap<ShardId, u64>,
     /// Into how many shards the zones of those are divided.
     shards_per_zone: HashMap<String, u32>,
     /// Under which shard each machine was taken in.
@@ -128,6 +138,7 @@
             jobs: JobSight::default(),
             fleet: Fleet::default(),
             shards: BTreeMap::new(),
+            void: BTreeMap::new(),
             shards_per_zone: HashMap::new(),
             shard_of: HashMap::new(),
             commands: HashMap::new(),
@@ -181,13 +192,13 @@
         let left: Vec<HostName> =
             self.shard_of.iter().filter(|(_, shard)| gone(shard)).map(|(host, _)| host.clone()).collect();
         left.iter().for_each(|host| self.forget(host));
+        self.commands.retain(|_, commands| held.contains_key(&commands.shard));
         self.shards = held;
     }
 
     /// Drops commands for a shard's machines; `starts`: only starts.
     fn drop_commands(&mut self, shard: &ShardId, starts: bool) {
-        let here = |host: &HostName| self.shard_of.get(host) == Some(shard);
-        for (_, commands) in self.commands.iter_mut().filter(|(host, _)| here(host)) {
+        for commands in self.commands.values_mut().filter(|commands| commands.shard == *shard) {
             commands.orders.retain(|order| starts && !matches!(order, Order::Run { .. }));
         }
     }
@@ -226,6 +237,9 @@
     /// The epoch under which this node acts for a shard.
     pub fn epoch(&self, shard: &ShardId, now: Duration) -> Option<u64> {
         let held = self.shards.get(shard)?;
+        if self.void.get(shard).is_some_and(|epoch| held.epoch <= *epoch) {
+            return None;
+        }
         let current = self.leader.as_ref().is_none_or(|leader| {
             let renewed = held.term >= leader.token;
             renewed || !leader.unsupported && now.saturating_sub(leader.since) < FORMER_TERM
--- a/crates/plankhead-core/src/leader/shards.rs
+++ b/crates/plankhead-core/src/leader/shards.rs
@@ -47,6 +47,8 @@
     sent: HashMap<HostName, (u64, Vec<Order>)>,
     /// Shards that it holds only now: it is told what is known of their machines.
     fresh: BTreeSet<ShardId>,
+    /// A shard was taken from it, and it may not have read so.
+    replaced: bool,
     /// Machines that were given back since.
     gone: BTreeSet<HostName>,
     /// The number of its latest message.
@@ -61,6 +63,7 @@
     machines: Vec<HostName>,
     fresh: BTreeSet<ShardId>,
     gone: Vec<HostName>,
+    replaced: bool,
 }
 
 /// What a leader that divides machines has beside the rest.
@@ -173,19 +176,24 @@
         let sibling = self.settings.siblings.contains(&message.host);
         let Some(shards) = self.shards.as_mut() else { return Delivery::Unsupported };
         let meant = sibling && message.term == self.token;
-        if !meant || shards.guard.admit(&message.host, message.stamp).is_err() {
+        let admitted = if meant { shards.guard.admit(&message.host, message.stamp).ok() } else { None };
+        let Some(restarted) = admitted else {
             shards.refused += 1;
             return Delivery::NotTaken;
-        }
+        };
         let peer = shards.peers.entry(message.host.clone()).or_default();
         peer.heard = now;
         peer.latest = message.stamp.sequence;
         peer.zone = message.zone;
         peer.sees_records = message.sees_records;
-        if peer.stream != message.stream {
+        if restarted || peer.stream != message.stream {
             peer.stream = message.stream;
             peer.names = Names::default();
         }
+        if restarted {
+            // A process that has begun anew knows nothing of what it was told.
+            peer.due.extend(std::mem::take(&mut peer.sent).into_keys());
+        }
         for news in &message.news {
             peer.names.learn(news.number, news.report.host.clone());
         }
@@ -194,8 +202,9 @@
             shards.registry.released(&held.shard, &message.host, held.epoch);
         }
         self.reached |= !message.news.is_empty() || !alive.is_empty();
+        let mut taken = true;
         for news in message.news {
-            self.machine_news(times, &message.host, news, out);
+            taken &= self.machine_news(times, &message.host, news, out);
         }
         let heard = now.saturating_sub(message.alive_age);
         for host in alive {
@@ -203,7 +212,11 @@
                 self.fleet.heard_by_holder(&host, heard);
             }
         }
-        Delivery::Taken
+        if taken {
+            Delivery::Taken
+        } else {
+            Delivery::NotTaken
+        }
     }
 
     fn is_held_by(&self, host: &HostName, holder: &str) -> bool {
@@ -211,19 +224,20 @@
         machine.and_then(|machine| self.holder_of(machine)).is_some_and(|(of, _)| of == holder)
     }
 
-    /// What a holder tells of one of its machines.
-    fn machine_news(&mut self, times: Times, holder: &str, news: MachineNews, out: &mut Out) {
+    /// What a holder tells of one of its machines. False: it is somebody else's machine by
+    /// now, or this leader does not know yet that the record was written, in which case it
+    /// wants to be told again.
+    fn machine_news(&mut self, times: Times, holder: &str, news: MachineNews, out: &mut Out) -> bool {
         let report = &news.report;
         let shards = self.shards.as_mut();
         let Some(shard) = shards.map(|shards| shards.registry.shard_of(&report.zone, &report.host)) else {
-            return;
+            return false;
         };
         if self.other_holder(&shard).is_none_or(|(of, _)| of != holder) {
-            // Somebody else's machine by now, or its holder's record is not read yet.
             if let Some(shards) = &mut self.shards {
                 shards.refused += 1;
             }
-            return;
+            return false;
         }
         self.hear(times, report, false, out);
         self.vouch(&report.host, news.proven, times.now.saturating_sub(news.age));
@@ -234,6 +248,7 @@
             }
         }
         self.order_due(&report.host);
+        true
     }
 
     // ----- what they are told -----
@@ -267,7 +282,8 @@
     fn flush_orders(&mut self, now: Duration, requests: &RequestHandler, out: &mut Out) {
         let Some(shards) = &self.shards else { return };
         let ready = |(_, peer): &(&String, &Peer)| {
-            let due = !(peer.due.is_empty() && peer.fresh.is_empty() && peer.gone.is_empty());
+            let due =
+                !(peer.due.is_empty() && peer.fresh.is_empty() && peer.gone.is_empty() && !peer.replaced);
             due && !peer.sending && now >= peer.retry
         };
         let ready: Vec<String> = shards.peers.iter().filter(ready).map(|(host, _)| host.clone()).collect();
@@ -286,24 +302,26 @@
             .collect();
         let Some(peer) = shards.peers.get(to) else { return };
         let due: Vec<HostName> = peer.due.iter().take(MAX_MACHINES).cloned().collect();
-        // Those of a shard that is not renewed yet wait for its record.
-        let current = |host: &HostName| {
-            let shard = self.fleet.machines.get(host).and_then(|machine| self.shard_of(machine));
-            shard.is_some_and(|shard| held.iter().any(|(of, _)| *of == shard))
+        let place = |host: &HostName| {
+            let shard = self.fleet.machines.get(host).and_then(|machine| self.shard_of(machine))?;
+            held.iter().position(|(of, _)| *of == shard)
         };
         let mut machines = Vec::new();
-        for host in due.iter().filter(|host| current(host)) {
+        for host in &due {
+            // Those of a shard that is not renewed yet wait for its record.
+            let Some(shard) = place(host) else { continue };
             let Some(shift) = self.fleet.machines.get(host).and_then(Machine::shift) else { continue };
             let orders = self.orders(now, host, requests);
             let last = peer.sent.get(host);
             let same = last.map_or(orders.is_empty(), |(of, sent)| *of == shift && *sent == orders);
             if !same {
-                machines.push(MachineOrders { host: host.clone(), shift, orders });
+                machines.push(MachineOrders { host: host.clone(), shard, shift, orders });
             }
         }
         let fresh: BTreeSet<ShardId> =
             peer.fresh.iter().filter(|shard| held.iter().any(|(of, _)| of == *shard)).cloned().collect();
         let snapshot = self.snapshot(&fresh);
+        let latest_epoch = shards.registry.highest_epoch();
         for MachineOrders { orders, .. } in &machines {
             self.note_offers(orders);
         }
@@ -315,11 +333,12 @@
         peer.due.retain(|host| !due.contains(host));
         peer.fresh.retain(|shard| !fresh.contains(shard));
         let gone: Vec<HostName> = std::mem::take(&mut peer.gone).into_iter().collect();
-        if machines.is_empty() && snapshot.is_empty() && gone.is_empty() {
+        let replaced = std::mem::take(&mut peer.replaced);
+        if machines.is_empty() && snapshot.is_empty() && gone.is_empty() && !replaced {
             return;
         }
         peer.sending = true;
-        for MachineOrders { host, shift, orders } in &machines {
+        for MachineOrders { host, shift, orders, .. } in &machines {
             peer.sent.insert(host.clone(), (*shift, orders.clone()));
         }
         let told = machines.iter().map(|machine| machine.host.clone()).collect();
@@ -327,13 +346,14 @@
             host: self.settings.host.clone(),
             stamp: Stamp { boot: self.settings.boot, sequence },
             answers: peer.latest,
+            latest_epoch,
             token: self.token,
             shards: held,
             machines,
             gone: gone.clone(),
             snapshot,
         };
-        let told = ToldHolder { machines: told, fresh, gone };
+        let told = ToldHolder { machines: told, fresh, gone, replaced };
         let call = LeaderCall::ShardOrders { to: to.to_owned(), told };
         let message = ShardMessage::Orders(Box::new(message));
         out.shard_message(Purpose::Leader(self.token, call), to.to_owned(), message);
@@ -369,6 +389,7 @@
             }
             peer.fresh.extend(told.fresh);
             peer.gone.extend(told.gone);
+            peer.replaced |= told.replaced;
         }
     }
 
@@ -501,6 +522,9 @@
             }
             peer.fresh.remove(&shard);
         }
+        if let Some(peer) = from.as_ref().filter(|_| moved).and_then(|from| shards.peers.get_mut(from)) {
+            peer.replaced = true;
+        }
         if let Some(peer) = shards.peers.get_mut(&to).filter(|_| !own) {
             peer.due.extend(hosts.iter().cloned());
             if reason != Reason::Renewed {
--- a/crates/plankhead-core/src/node/shards.rs
+++ b/crates/plankhead-core/src/node/shards.rs
@@ -86,7 +86,7 @@
         let now = times.now;
         let standing = self.standing(now);
         let blind = standing.records.is_none_or(|at| now.saturating_sub(at) > ADRIFT);
-        let adrift = blind && !self.company(now);
+        let adrift = (blind || standing.failing) && !self.company(now);
         let Some(sharding) = &mut self.sharding else { return Answer::Elsewhere { foreman: None } };
         sharding.holder.beat(times, report, of, (relayed, adrift), standing)
     }
--- a/crates/plankhead-core/src/shard_messages.rs
+++ b/crates/plankhead-core/src/shard_messages.rs
@@ -78,6 +78,8 @@
     pub token: u64,
     /// The shards that the leader takes the receiver to hold, with their epochs.
     pub shards: Vec<(ShardId, u64)>,
+    /// The highest epoch that the leader has given so far.
+    pub latest_epoch: u64,
     /// All that each of these machines is to be told; replaces what was said before.
     pub machines: Vec<MachineOrders>,
     /// Machines that the cloud has taken back.
@@ -90,6 +92,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct MachineOrders {
     pub host: HostName,
+    /// The place of the machine's shard among those that the message names.
+    pub shard: usize,
     pub shift: u64,
     pub orders: Vec<Order>,
 }
--- a/crates/plankhead-core/tests/world/script.rs
+++ b/crates/plankhead-core/tests/world/script.rs
@@ -320,6 +320,12 @@
                 continue;
             }
             let since = *job.waiting.get_or_insert(now);
+            if now > since + MOST_WAIT && std::env::var_os("WORLD_DUMP").is_some() {
+                println!("{:?} {:?} {:?}", job.id, job.spec, job.done);
+                self.dump();
+                panic!("dumped");
+            }
+            let job = &mut self.jobs[n];
             assert!(now <= since + MOST_WAIT, "waits: {:?} although a machine has room", job.id);
         }
     }
--- a/crates/plankhead-sharding/src/registry.rs
+++ b/crates/plankhead-sharding/src/registry.rs
@@ -251,6 +251,9 @@
     /// The records to be written now, at most so many. Each is taken for under way until
     /// [`Registry::written`] says what became of it.
     pub fn next_writes(&mut self, around: &Surroundings, most: usize, now: Duration) -> Vec<RecordWrite> {
+        if self.began.is_none() {
+            self.next_move = now + self.settings.move_pause;
+        }
         let began = *self.began.get_or_insert(now);
         let settled = now.saturating_sub(began) >= SETTLE;
         let mut holdings = self.holdings(around);
