Sharding in the program: its file, messages between controllers, the subcommand shards

Need: the core's holders reach each other and operators. rkyv messages on a path of their own, LZ4 for large ones (200 machines with 16 tasks each: under 60 kB), each refused with a typed reason; deploy/sharding.json with its schema; shards prints the table and where records and controllers disagree. A later epoch fences what a former holder was ordered, so that a cancelled attempt of a moved shard costs no machine. Off without the file.

--- a/crates/plankhead-core/src/holder/reporting.rs
+++ b/crates/plankhead-core/src/holder/reporting.rs
@@ -1,11 +1,11 @@
 //! What a holder tells the leader.
 
 use super::*;
-use crate::shard_messages::{Delivery, HeldShard, HolderReport, MachineNews, ShardMessage, MAX_MACHINES};
+use crate::shard_messages::{
+    Delivery, HeldShard, HolderReport, MachineNews, ShardMessage, MAX_MACHINES, MAX_TASKS,
+};
 use roaring::RoaringBitmap;
 
-/// Between two messages with news.
-const NEWS_PAUSE: Duration = Duration::from_millis(50);
 /// Between two messages without news.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Until a message is repeated that did not arrive.
@@ -65,8 +65,12 @@
 
     fn take_news(&mut self, now: Duration) -> Vec<MachineNews> {
         let hosts: Vec<HostName> = self.news.iter().take(MAX_MACHINES).cloned().collect();
-        let mut told = Vec::with_capacity(hosts.len());
+        let mut told: Vec<MachineNews> = Vec::with_capacity(hosts.len());
+        let mut tasks = 0;
         for host in hosts {
+            if tasks > MAX_TASKS {
+                break;
+            }
             self.news.remove(&host);
             self.alive.remove(&host);
             let Some(number) = self.numbers.assign(&host) else {
@@ -75,6 +79,7 @@
             };
             let Some(machine) = self.fleet.machines.get(&host) else { continue };
             let Some(report) = &machine.report else { continue };
+            tasks += report.tasks.len();
             told.push(MachineNews {
                 number,
                 report: report.clone(),
@@ -107,7 +112,7 @@
     /// News has come: the next message need not wait for the heartbeat.
     pub fn hasten(&mut self, now: Duration) {
         if !self.news.is_empty() && !self.reporting {
-            self.report_due = self.report_due.min(now.max(self.report_sent + NEWS_PAUSE));
+            self.report_due = self.report_due.min(now.max(self.report_sent + self.settings.message_pause()));
         }
     }
 
--- a/crates/plankhead-core/src/leader/clock.rs
+++ b/crates/plankhead-core/src/leader/clock.rs
@@ -221,7 +221,7 @@
             // silence then, and a hung machine kept its task beyond the time.
             .filter(|(at, a)| {
                 let last = *at + due.saturating_sub(RELEASE);
-                a.seen.is_some() || a.offered || heard || (self.began < *at + due && now >= last)
+                a.seen.is_some() || a.offered.is_some() || heard || (self.began < *at + due && now >= last)
             })
             .map(|(_, a)| a.host.clone())
             .collect();
--- a/crates/plankhead-core/src/leader/shards.rs
+++ b/crates/plankhead-core/src/leader/shards.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use crate::shard_messages::{
-    Delivery, HolderReport, LeaderOrders, MachineNews, MachineOrders, ShardMessage, MAX_MACHINES,
+    Delivery, HolderReport, LeaderOrders, MachineNews, MachineOrders, ShardMessage, MAX_MACHINES, MAX_TASKS,
 };
 use plankhead_sharding::alive::Names;
 use plankhead_sharding::balance::Candidate;
@@ -306,24 +306,31 @@
             let shard = self.fleet.machines.get(host).and_then(|machine| self.shard_of(machine))?;
             held.iter().position(|(of, _)| *of == shard)
         };
-        let mut machines = Vec::new();
+        let mut machines: Vec<MachineOrders> = Vec::new();
+        let (mut commands, mut taken) = (0, 0);
         for host in &due {
+            if commands > MAX_TASKS {
+                break;
+            }
+            taken += 1;
             // Those of a shard that is not renewed yet wait for its record.
             let Some(shard) = place(host) else { continue };
             let Some(shift) = self.fleet.machines.get(host).and_then(Machine::shift) else { continue };
             let orders = self.orders(now, host, requests);
             let last = peer.sent.get(host);
             let same = last.map_or(orders.is_empty(), |(of, sent)| *of == shift && *sent == orders);
+            commands += orders.len();
             if !same {
                 machines.push(MachineOrders { host: host.clone(), shard, shift, orders });
             }
         }
+        let due = &due[..taken];
         let fresh: BTreeSet<ShardId> =
             peer.fresh.iter().filter(|shard| held.iter().any(|(of, _)| of == *shard)).cloned().collect();
         let snapshot = self.snapshot(&fresh);
         let latest_epoch = shards.registry.highest_epoch();
-        for MachineOrders { orders, .. } in &machines {
-            self.note_offers(orders);
+        for MachineOrders { orders, shard, .. } in &machines {
+            self.note_offers(orders, held[*shard].1);
         }
         self.note_first_starts(now, &machines, out);
         let Some(shards) = &mut self.shards else { return };
@@ -374,13 +381,20 @@
         }
         let here = |machine: &&Machine| self.shard_of(machine).is_some_and(|shard| shards.contains(&shard));
         let machines = self.fleet.machines.values().filter(here);
-        machines.filter_map(|machine| machine.report.clone()).take(MAX_MACHINES).collect()
+        let mut tasks = 0;
+        let few = |report: &Report| {
+            tasks += report.tasks.len();
+            tasks <= MAX_TASKS
+        };
+        let reports = machines.filter_map(|machine| machine.report.clone());
+        reports.take(MAX_MACHINES).take_while(few).collect()
     }
 
     /// What became of a message to a holder.
     pub fn orders_told(&mut self, now: Duration, to: &str, told: ToldHolder, delivery: Delivery) {
         let Some(peer) = self.shards.as_mut().and_then(|shards| shards.peers.get_mut(to)) else { return };
         peer.sending = false;
+        peer.retry = now + self.settings.message_pause();
         if delivery != Delivery::Taken {
             peer.retry = now + RETRY;
             for host in told.machines {
--- a/crates/plankhead-core/src/leader/workers.rs
+++ b/crates/plankhead-core/src/leader/workers.rs
@@ -56,16 +56,16 @@
             return Answer::Elsewhere { foreman: None };
         }
         machine.note_answer(&orders, now);
-        self.note_offers(&orders);
+        self.note_offers(&orders, token);
         Answer::Beat { token, orders }
     }
 
-    /// Notes which attempts a worker may have been told to run from now on.
-    pub(super) fn note_offers(&mut self, orders: &[Order]) {
+    /// Notes which attempts a worker may be told to run from now on, and under which token.
+    pub(super) fn note_offers(&mut self, orders: &[Order], token: u64) {
         for order in orders {
             if let Order::Run { task, .. } = order {
                 if let Some(attempt) = self.ledger.attempt_mut(task) {
-                    attempt.offered = true;
+                    attempt.offered = attempt.offered.max(Some(token));
                 }
             }
         }
@@ -250,7 +250,7 @@
             let ending = |e: &&Entry| e.phase == Phase::Live && e.ending();
             let found = self.ledger.jobs.get(&task.job).filter(ending).and(self.ledger.attempt(task));
             let Some(attempt) = found else { continue };
-            let told = attempt.offered && attempt.seen.is_none() && attempt.shift == report.shift;
+            let told = attempt.offered.is_some() && attempt.seen.is_none() && attempt.shift == report.shift;
             let listed = report.tasks.iter().any(|l| l.task == *task && l.attempt == attempt.number);
             if told && !listed {
                 let number = attempt.number;
@@ -324,9 +324,10 @@
             }
             orders.push(Order::Kill { task: task.clone(), attempt: *attempt, leeway });
         }
+        let token = self.token_for(host);
         for (task, attempt) in &runs {
             if let Some(a) = self.ledger.attempt_mut(task) {
-                (a.told, a.offered) = (true, true);
+                (a.told, a.offered) = (true, a.offered.max(Some(token)));
             }
             orders.push(Order::Run { task: task.clone(), attempt: *attempt });
         }
@@ -334,7 +335,6 @@
             let after = now.saturating_sub(self.began).as_millis();
             out.log(Level::Info, format!("first starts {after} ms after it leads"));
         }
-        let token = self.token_for(host);
         let Some(machine) = self.fleet.machines.get_mut(host) else { return };
         let address = machine.begin_command(&runs);
         let leader_call = LeaderCall::Orders { host: host.clone(), shift, runs };
--- a/crates/plankhead-core/src/ledger.rs
+++ b/crates/plankhead-core/src/ledger.rs
@@ -42,12 +42,21 @@
     pub stop: bool,
     /// `run` was sent straight to the worker, once.
     pub told: bool,
-    /// This leader has told the worker to run it, in whatever way.
-    pub offered: bool,
+    /// The token under which this leader last had the worker told to run it, in whatever way.
+    pub offered: Option<u64>,
     /// `kill` was sent straight to the worker, once.
     pub kill_told: bool,
 }
 
+impl Attempt {
+    /// Whether a worker that knows this token refuses every command to run the attempt that
+    /// was given so far: this leader gave none, or only under lower ones, by the holder of a
+    /// shard that has moved since.
+    fn is_fenced_by(&self, token: u64) -> bool {
+        self.offered.is_none_or(|offered| offered < token)
+    }
+}
+
 #[derive(Debug, Clone, PartialEq)]
 pub enum TaskState {
     Idle,
@@ -391,7 +400,7 @@
                         inherited: true,
                         stop: false,
                         told: false,
-                        offered: false,
+                        offered: None,
                         kill_told: false,
                     })
                 }
@@ -511,8 +520,11 @@
     /// at once, the rest on evidence. Its machines are to be told without delay.
     fn stop_all(&mut self, id: &JobId) {
         let Some(entry) = self.jobs.get_mut(id) else { return };
-        let untold: Vec<u32> =
-            entry.attempts().filter(|(_, a)| !a.inherited && !a.offered).map(|(index, _)| index).collect();
+        let untold: Vec<u32> = entry
+            .attempts()
+            .filter(|(_, a)| !a.inherited && a.offered.is_none())
+            .map(|(index, _)| index)
+            .collect();
         for index in untold {
             self.end(&TaskId { job: id.clone(), index }, false);
         }
@@ -573,7 +585,7 @@
             inherited: false,
             stop: false,
             told: false,
-            offered: false,
+            offered: None,
             kill_told: false,
         });
         entry.placed += 1;
@@ -727,7 +739,7 @@
                 continue;
             }
             match listed.get(&(&id, number)) {
-                None if own && !attempt.offered && self.to_end(&id.job) => {
+                None if own && attempt.is_fenced_by(report.token) && self.to_end(&id.job) => {
                     ended.push(finish(None, None));
                     self.end(&id, false);
                     self.note_end(&id, now);
--- a/crates/plankhead-core/src/settings.rs
+++ b/crates/plankhead-core/src/settings.rs
@@ -103,6 +103,12 @@
 /// a second to ask another node, and half a second to come where that sends it.
 const DETOUR: Duration = Duration::from_millis(5500);
 
+/// What a message may take of a core's time with all that it brings, and the bounds of the
+/// pause that follows from it.
+const MESSAGE_COST: Duration = Duration::from_millis(2);
+const LEAST_MESSAGE_PAUSE: Duration = Duration::from_millis(20);
+const MOST_MESSAGE_PAUSE: Duration = Duration::from_millis(150);
+
 impl Settings {
     /// The longest time between two reports that are answered: one may be a
     /// quarter late, and a while under way.
@@ -110,6 +116,12 @@
         self.report.mul_f64(1.25) + Duration::from_millis(500)
     }
 
+    /// Between two messages with news between the leader and a holder: each costs both some
+    /// hundred microseconds, so that a small share of a core sends fewer.
+    pub fn message_pause(&self) -> Duration {
+        MESSAGE_COST.div_f64(self.cpu.max(0.001)).clamp(LEAST_MESSAGE_PAUSE, MOST_MESSAGE_PAUSE)
+    }
+
     /// A worker that is there is heard within this time, also if one report of
     /// its got no answer.
     pub fn silence(&self) -> Duration {
--- a/crates/plankhead-core/src/shard_messages.rs
+++ b/crates/plankhead-core/src/shard_messages.rs
@@ -9,6 +9,8 @@
 
 /// Machines that one message tells of at most; the others have the next one.
 pub const MAX_MACHINES: usize = 400;
+/// Tasks, or commands about them, after which a message takes in no further machine.
+pub const MAX_TASKS: usize = 8_000;
 /// Shards that one message names at most.
 pub const MAX_SHARDS: usize = 4_096;
 
--- a/crates/plankhead-core/tests/evidence.rs
+++ b/crates/plankhead-core/tests/evidence.rs
@@ -182,11 +182,29 @@
     assert_eq!(old.observe(&report(3, 3, &[(0, 1, Seen::Running)]), true, NOW).0.len(), 1);
     assert_eq!(placed(&old), 1);
     let mut sent = ledger(2);
-    sent.attempt_mut(&TaskId { job: id(), index: 1 }).unwrap().offered = true;
+    sent.attempt_mut(&TaskId { job: id(), index: 1 }).unwrap().offered = Some(0);
     cancel(&mut sent);
     assert_eq!(sent.observe(&report(3, 1, &[]), true, NOW).0.len(), 1);
 }
 
+/// What the leader had a holder tell is refused once the worker knows the next holder's
+/// token: a report with that one that does not list a cancelled attempt shows it gone.
+#[test]
+fn a_later_epoch_fences_what_a_former_holder_was_ordered() {
+    let under = |token, tick| Report { token, ..report(3, tick, &[]) };
+    let mut offered = ledger(2);
+    for index in 0..2 {
+        offered.attempt_mut(&TaskId { job: id(), index }).unwrap().offered = Some(40 + u64::from(index));
+    }
+    assert!(offered.observe(&under(50, 1), true, NOW).0.is_empty(), "a live job's attempt may come");
+    offered.upsert(&id(), record(Phase::Cancelled, 10), 9, NOW, Some(NOW), 4);
+    assert!(offered.observe(&under(40, 2), true, NOW).0.is_empty(), "its own holder may tell it yet");
+    assert_eq!(offered.observe(&under(41, 3), true, NOW).0.len(), 1, "of a former holder's epoch");
+    assert_eq!(placed(&offered), 1);
+    assert!(offered.observe(&under(42, 4), false, NOW).0.is_empty(), "not of this term");
+    assert_eq!(offered.observe(&under(42, 5), true, NOW).0.len(), 1);
+}
+
 /// What one leader writes, the next one reads: placements, ends and gaps.
 #[test]
 fn chunks_survive_a_takeover() {
@@ -388,7 +406,7 @@
     for index in 0..3 {
         let task = TaskId { job: id(), index };
         assert!(ledger.written(&task));
-        ledger.attempt_mut(&task).unwrap().offered = true;
+        ledger.attempt_mut(&task).unwrap().offered = Some(0);
     }
 }
 
--- a/crates/plankhead/src/cli.rs
+++ b/crates/plankhead/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::config::{self, Files};
-use crate::{driver, duties, log, views};
+use crate::{driver, duties, log, shard_table, views};
 use clap::{Parser, Subcommand};
 use std::future::Future;
 use std::path::PathBuf;
@@ -28,6 +28,10 @@
     /// reachability.schema.json). Without it it does not.
     #[arg(long, value_name = "FILE")]
     reachability: Option<PathBuf>,
+    /// Whether machines are divided among the controllers, and how (JSON, see
+    /// sharding.schema.json). Without it the leader answers all workers.
+    #[arg(long, value_name = "FILE")]
+    sharding: Option<PathBuf>,
     /// Check the settings, print every fault found, and end.
     #[arg(long)]
     check: bool,
@@ -39,6 +43,9 @@
     Duties(DutiesArgs),
     /// Print what the controllers see of each other, and where they disagree.
     Views(ViewsArgs),
+    /// Print which controller holds which shard of the machines, and where the records and
+    /// the controllers disagree.
+    Shards(ShardsArgs),
 }
 
 #[derive(Debug, clap::Args)]
@@ -58,6 +65,13 @@
     config: PathBuf,
 }
 
+#[derive(Debug, clap::Args)]
+struct ShardsArgs {
+    /// The settings file of any controller node (JSON).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+}
+
 pub fn main() -> ExitCode {
     let args = Args::parse();
     match run(args) {
@@ -78,6 +92,12 @@
         print!("{}", views::table(&block_on(views::ask_all(&config))?));
         return Ok(());
     }
+    if let Some(Command::Shards(asked)) = args.command {
+        let config = config::read(&Files { platform: asked.config, ..Files::default() })?;
+        let shards = block_on(shard_table::read(&config))?.map_err(|error| vec![error.to_string()])?;
+        print!("{}", shards.print());
+        return Ok(());
+    }
     if let Some(Command::Duties(asked)) = args.command {
         let config = config::read(&Files { platform: asked.config, ..Files::default() })?;
         let table = block_on(duties::list(config.state, &asked.time_zone))?;
@@ -90,6 +110,7 @@
         operator: args.operator,
         fencing: args.fencing,
         reachability: args.reachability,
+        sharding: args.sharding,
     })?;
     if args.check {
         println!("the settings are good");
--- a/crates/plankhead/src/config.rs
+++ b/crates/plankhead/src/config.rs
@@ -1,7 +1,7 @@
 //! The two settings files: the platform's, of which unknown fields are
 //! ignored, and the operators', which must match its schema.
 
-use crate::{fencing, reachability};
+use crate::{fencing, reachability, sharding};
 use plankhead_core::settings::{Expectation, Fencing, Settings, Sizing, Team};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -144,6 +144,7 @@
     pub operator: Option<PathBuf>,
     pub fencing: Option<PathBuf>,
     pub reachability: Option<PathBuf>,
+    pub sharding: Option<PathBuf>,
 }
 
 /// Reads the files; on failure, every fault found.
@@ -154,6 +155,7 @@
     let own = optional(&files.operator);
     let fencing = optional(&files.fencing);
     let reachability = optional(&files.reachability);
+    let sharding = optional(&files.sharding);
     if !faults.is_empty() {
         return Err(faults);
     }
@@ -168,6 +170,9 @@
     if let Some(value) = reachability {
         config.core.reachability = reachability::parse(&value, &mut faults);
     }
+    if let Some(value) = sharding {
+        config.core.sharding = sharding::parse(&value, &mut faults);
+    }
     if faults.is_empty() {
         Ok(config)
     } else {
@@ -294,8 +299,11 @@
         Some(_) => r.amount(root, "params.quota.cpu", 0.001, 1e4),
     };
     let sockets = r.amount(root, "params.quota.sockets", 16.0, 1e6);
+    // Other versions of the platform's file may lack it: then it is in no zone.
+    let zone = root.get("location").and_then(Value::as_str).unwrap_or_default().to_owned();
     let core = Settings {
         host,
+        zone,
         boot: rand::random(),
         nodes: siblings.len() + 1,
         siblings: siblings.iter().map(|(name, _)| name.clone()).collect(),
--- a/crates/plankhead/src/driver.rs
+++ b/crates/plankhead/src/driver.rs
@@ -5,10 +5,11 @@
 use crate::config::Config;
 use crate::http::{self, Client, Reply};
 use crate::peer::{self, Sibling};
-use crate::{api, cloud, coverage, log, state, wire};
+use crate::{api, cloud, coverage, log, shard_messages, state, wire};
 use plankhead_core::job::{JobId, JobSpec};
 use plankhead_core::node::{Node, Times};
-use plankhead_core::protocol::{Answer, Ask, Effect, Event, Report};
+use plankhead_core::protocol::{Answer, Ask, Call, Effect, Event, Report};
+use plankhead_core::shard_messages::{Delivery, ShardFault, ShardMessage};
 use plankhead_reachability::coverage::Coverage;
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -48,6 +49,7 @@
     Poll { id: JobId },
     Abort { id: JobId },
     Beat { report: Report, relayed: bool },
+    Shard { message: Result<ShardMessage, ShardFault> },
     View,
 }
 
@@ -58,6 +60,7 @@
             Request::Poll { id } => Event::Poll { ask, id },
             Request::Abort { id } => Event::Abort { ask, id },
             Request::Beat { report, relayed } => Event::Beat { ask, report, relayed },
+            Request::Shard { message } => Event::Shard { ask, message },
             Request::View => Event::View { ask },
         }
     }
@@ -213,10 +216,26 @@
                 }
             }
             Effect::Coverage(message) => self.tell_coverage(&message),
+            Effect::Shard { call, to, message } => self.send_shard_message(call, &to, &message),
             Effect::Log(level, text) => log::emit(level, &text),
         }
     }
 
+    /// Tells a sibling something about shards; what becomes of it comes back.
+    fn send_shard_message(&self, call: Call, to: &str, message: &ShardMessage) {
+        let (sibling, bytes) = (self.siblings.get(to).cloned(), shard_messages::encode(message));
+        if bytes.is_none() {
+            tracing::error!("a message about shards for {to} is too large");
+        }
+        self.spawn(async move {
+            let delivery = match (sibling, bytes) {
+                (Some(sibling), Some(bytes)) => sibling.tell_shards(bytes).await,
+                _ => Delivery::Lost,
+            };
+            Event::ShardTold { call, delivery }
+        });
+    }
+
     /// Tells every sibling of this node's reach; whether each answers comes back.
     fn tell_coverage(&self, message: &Coverage) {
         let Some(bytes) = coverage::encode(message) else { return };
--- a/crates/plankhead/src/lib.rs
+++ b/crates/plankhead/src/lib.rs
@@ -17,6 +17,9 @@
 pub mod log;
 pub mod peer;
 pub mod reachability;
+pub mod shard_messages;
+pub mod shard_table;
+pub mod sharding;
 pub mod state;
 #[cfg(test)]
 mod tests;
--- a/crates/plankhead/src/peer.rs
+++ b/crates/plankhead/src/peer.rs
@@ -3,11 +3,12 @@
 
 use crate::driver::{Command, Handle, Request as Ask};
 use crate::http::{self, Client, Reply};
-use crate::{coverage, wire};
+use crate::{coverage, shard_messages, wire};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use plankhead_core::node::MOST_PROGRESS_READ;
 use plankhead_core::protocol::{Event, Progress, Pulse};
+use plankhead_core::shard_messages::Delivery;
 use rkyv::{Archive, Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -94,6 +95,7 @@
     client: Client,
     busy: AtomicBool,
     relays: Client,
+    shards: Client,
     relaying: AtomicUsize,
     /// When passing a report on failed last.
     failed: Mutex<Option<Instant>>,
@@ -103,6 +105,7 @@
     pub fn new(address: SocketAddr) -> Self {
         let (client, relays) = (Client::new(address), Client::new(address));
         Self {
+            shards: Client::new(address),
             client,
             busy: AtomicBool::new(false),
             relays,
@@ -142,6 +145,16 @@
         self.client.call(Method::POST, coverage::PATH, bytes, PATIENCE).await.is_ok()
     }
 
+    /// Sends a message about shards.
+    pub async fn tell_shards(&self, bytes: Vec<u8>) -> Delivery {
+        match self.shards.call(Method::POST, shard_messages::PATH, bytes, PATIENCE).await {
+            Ok((StatusCode::OK, _)) => Delivery::Taken,
+            Ok((StatusCode::NOT_FOUND | StatusCode::METHOD_NOT_ALLOWED, _)) => Delivery::Unsupported,
+            Ok(_) => Delivery::NotTaken,
+            Err(_) => Delivery::Lost,
+        }
+    }
+
     /// Sends a pulse, unless the one before is still on its way.
     pub fn tell(self: &Arc<Self>, bytes: Vec<u8>) {
         if self.busy.swap(true, Ordering::Relaxed) {
@@ -185,6 +198,15 @@
                 None => Reply { status: 200, body: Vec::new(), retry: None },
             }
         }
+        (Method::POST, shard_messages::PATH) => {
+            let message = match http::body(request, shard_messages::MAX_WIRE).await {
+                Ok(body) => shard_messages::decode(&body),
+                Err(reply) => return reply,
+            };
+            let fault = message.as_ref().err().map(ToString::to_string);
+            let answer = handle.ask(Ask::Shard { message }).await;
+            fault.map_or(answer, |fault| Reply::error(400, &fault))
+        }
         (Method::POST, "/relay") => {
             let body = match http::body(request, MOST_RELAY).await {
                 Ok(body) => body,
@@ -201,7 +223,9 @@
             }
         }
         (Method::GET, "/view") => handle.ask(Ask::View).await,
-        (_, "/pulse" | coverage::PATH | "/relay" | "/view") => Reply::error(405, "wrong method"),
+        (_, "/pulse" | coverage::PATH | shard_messages::PATH | "/relay" | "/view") => {
+            Reply::error(405, "wrong method")
+        }
         _ => Reply::error(404, "no such path"),
     }
 }
--- /dev/null
+++ b/crates/plankhead/src/shard_messages.rs
@@ -0,0 +1,404 @@
+//! Messages about shards on the controller port: rkyv, checked before use, compressed where
+//! they are large, as the snapshot of a shard is.
+
+use crate::peer::aligned;
+use plankhead_core::job::JobId;
+use plankhead_core::protocol::{Cause, Listed, Order, Report, Seen, TaskId};
+use plankhead_core::shard_messages::{
+    HeldShard, HolderReport, LeaderOrders, MachineNews, MachineOrders, ShardFault, ShardMessage,
+    MAX_MACHINES, MAX_SHARDS,
+};
+use plankhead_sharding::alive;
+use plankhead_sharding::sequence::Stamp;
+use plankhead_sharding::shard::ShardId;
+use rkyv::rancor::Error;
+use rkyv::{Archive, Deserialize, Serialize};
+use std::time::Duration;
+
+/// The path on the controller port.
+pub const PATH: &str = "/shards";
+/// What may come over the wire, and what it may become.
+pub const MAX_WIRE: usize = 2 * 1024 * 1024;
+const MAX_PLAIN: usize = 8 * 1024 * 1024;
+/// Smaller messages are sent as they are.
+const COMPRESS_FROM: usize = 2 * 1024;
+/// The first byte of a message: what follows it.
+const PLAIN: u8 = 0;
+const LZ4: u8 = 1;
+/// The longest name of a machine, zone or controller.
+const MAX_NAME: usize = 200;
+
+#[derive(Archive, Serialize, Deserialize)]
+enum Message {
+    Report(ReportMessage),
+    Orders(OrdersMessage),
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct ShardName {
+    zone: String,
+    index: u32,
+    epoch: u64,
+    released: bool,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct ReportMessage {
+    host: String,
+    boot: u64,
+    sequence: u64,
+    zone: String,
+    term: u64,
+    sees_records: bool,
+    shards: Vec<ShardName>,
+    stream: u64,
+    news: Vec<NewsMessage>,
+    alive: Vec<u8>,
+    alive_age_ms: u64,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct NewsMessage {
+    number: u32,
+    report: WorkerReport,
+    proven: bool,
+    deaf: bool,
+    unanswered: u32,
+    age_ms: u64,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct WorkerReport {
+    host: String,
+    address: String,
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    session: u64,
+    tick: u64,
+    token: u64,
+    warning_ms: Option<u64>,
+    tasks: Vec<ListedTask>,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct ListedTask {
+    job: String,
+    index: u32,
+    attempt: u64,
+    seen: u8,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct OrdersMessage {
+    host: String,
+    boot: u64,
+    sequence: u64,
+    answers: u64,
+    token: u64,
+    shards: Vec<ShardName>,
+    latest_epoch: u64,
+    machines: Vec<MachineMessage>,
+    gone: Vec<String>,
+    snapshot: Vec<WorkerReport>,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct MachineMessage {
+    host: String,
+    shard: u32,
+    session: u64,
+    orders: Vec<OrderMessage>,
+}
+
+#[derive(Archive, Serialize, Deserialize)]
+struct OrderMessage {
+    kind: u8,
+    job: String,
+    index: u32,
+    attempt: u64,
+    leeway_ms: u64,
+}
+
+const RUN: u8 = 0;
+const KILL: u8 = 1;
+const REAP: u8 = 2;
+
+/// What a worker says of an attempt, by its code.
+const SEEN: [Seen; 14] = [
+    Seen::Pulling,
+    Seen::Waiting,
+    Seen::Running,
+    Seen::Saving,
+    Seen::Other,
+    Seen::Ended(Cause::Done),
+    Seen::Ended(Cause::Stopped),
+    Seen::Ended(Cause::Error),
+    Seen::Ended(Cause::Full),
+    Seen::Ended(Cause::Busy),
+    Seen::Ended(Cause::Unknown),
+    Seen::Ended(Cause::MatesGone),
+    Seen::Ended(Cause::Incomplete),
+    Seen::Ended(Cause::Other),
+];
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+// ----- writing -----
+
+/// The bytes of a message; `None` where it would be larger than a receiver takes.
+pub fn encode(message: &ShardMessage) -> Option<Vec<u8>> {
+    let message = match message {
+        ShardMessage::Report(report) => Message::Report(report_message(report)),
+        ShardMessage::Orders(orders) => Message::Orders(orders_message(orders)),
+    };
+    let plain = rkyv::to_bytes::<Error>(&message).ok()?;
+    let mut bytes = Vec::with_capacity(plain.len() + 1);
+    if plain.len() < COMPRESS_FROM {
+        bytes.push(PLAIN);
+        bytes.extend_from_slice(&plain);
+    } else {
+        bytes.push(LZ4);
+        bytes.extend(lz4_flex::compress_prepend_size(&plain));
+    }
+    (plain.len() <= MAX_PLAIN && bytes.len() <= MAX_WIRE).then_some(bytes)
+}
+
+fn shard_name(shard: &ShardId, epoch: u64, released: bool) -> ShardName {
+    ShardName { zone: shard.zone.clone(), index: shard.index, epoch, released }
+}
+
+fn report_message(report: &HolderReport) -> ReportMessage {
+    let news = |news: &MachineNews| NewsMessage {
+        number: news.number,
+        report: worker_report(&news.report),
+        proven: news.proven,
+        deaf: news.deaf,
+        unanswered: news.unanswered,
+        age_ms: millis(news.age),
+    };
+    let shard = |held: &HeldShard| shard_name(&held.shard, held.epoch, held.released);
+    ReportMessage {
+        host: report.host.clone(),
+        boot: report.stamp.boot,
+        sequence: report.stamp.sequence,
+        zone: report.zone.clone(),
+        term: report.term,
+        sees_records: report.sees_records,
+        shards: report.shards.iter().map(shard).collect(),
+        stream: report.stream,
+        news: report.news.iter().map(news).collect(),
+        alive: alive::encode(&report.alive),
+        alive_age_ms: millis(report.alive_age),
+    }
+}
+
+fn worker_report(report: &Report) -> WorkerReport {
+    let code = |seen: Seen| SEEN.iter().position(|known| *known == seen).unwrap_or_default() as u8;
+    let task = |listed: &Listed| ListedTask {
+        job: listed.task.job.to_string(),
+        index: listed.task.index,
+        attempt: listed.attempt,
+        seen: code(listed.seen),
+    };
+    WorkerReport {
+        host: report.host.to_string(),
+        address: report.address.to_string(),
+        machine_type: report.rig.to_string(),
+        zone: report.zone.to_string(),
+        spot: report.spot,
+        session: report.shift,
+        tick: report.tick,
+        token: report.token,
+        warning_ms: report.warning.map(millis),
+        tasks: report.tasks.iter().map(task).collect(),
+    }
+}
+
+fn orders_message(orders: &LeaderOrders) -> OrdersMessage {
+    let machine = |machine: &MachineOrders| MachineMessage {
+        host: machine.host.to_string(),
+        shard: machine.shard as u32,
+        session: machine.shift,
+        orders: machine.orders.iter().map(order_message).collect(),
+    };
+    OrdersMessage {
+        host: orders.host.clone(),
+        boot: orders.stamp.boot,
+        sequence: orders.stamp.sequence,
+        answers: orders.answers,
+        token: orders.token,
+        shards: orders.shards.iter().map(|(shard, epoch)| shard_name(shard, *epoch, false)).collect(),
+        latest_epoch: orders.latest_epoch,
+        machines: orders.machines.iter().map(machine).collect(),
+        gone: orders.gone.iter().map(|host| host.to_string()).collect(),
+        snapshot: orders.snapshot.iter().map(worker_report).collect(),
+    }
+}
+
+fn order_message(order: &Order) -> OrderMessage {
+    let (kind, task, attempt, leeway) = match order {
+        Order::Run { task, attempt } => (RUN, task, attempt, Duration::ZERO),
+        Order::Kill { task, attempt, leeway } => (KILL, task, attempt, *leeway),
+        Order::Reap { task, attempt } => (REAP, task, attempt, Duration::ZERO),
+    };
+    OrderMessage {
+        kind,
+        job: task.job.to_string(),
+        index: task.index,
+        attempt: *attempt,
+        leeway_ms: millis(leeway),
+    }
+}
+
+// ----- reading -----
+
+/// Reads a message, or says what is wrong with it.
+pub fn decode(bytes: &[u8]) -> Result<ShardMessage, ShardFault> {
+    if bytes.len() > MAX_WIRE {
+        return Err(ShardFault::TooLarge);
+    }
+    let malformed = |what: &str| ShardFault::Malformed(what.into());
+    let (kind, rest) = bytes.split_first().ok_or_else(|| malformed("it is empty"))?;
+    let message = match *kind {
+        PLAIN => rkyv::from_bytes::<Message, Error>(&aligned(rest)),
+        LZ4 => rkyv::from_bytes::<Message, Error>(&aligned(&decompress(rest)?)),
+        _ => return Err(malformed("it has an unknown form")),
+    };
+    match message.map_err(|error| ShardFault::Malformed(error.to_string()))? {
+        Message::Report(report) => Ok(ShardMessage::Report(Box::new(holder_report(report)?))),
+        Message::Orders(orders) => Ok(ShardMessage::Orders(Box::new(leader_orders(orders)?))),
+    }
+}
+
+fn decompress(bytes: &[u8]) -> Result<Vec<u8>, ShardFault> {
+    let size = bytes.first_chunk::<4>().map(|size| u32::from_le_bytes(*size) as usize);
+    let size = size.ok_or_else(|| ShardFault::Malformed("it is cut off".into()))?;
+    if size > MAX_PLAIN {
+        return Err(ShardFault::TooLarge);
+    }
+    lz4_flex::decompress_size_prepended(bytes).map_err(|error| ShardFault::Malformed(error.to_string()))
+}
+
+fn name(text: String, what: &'static str) -> Result<String, ShardFault> {
+    if text.is_empty() || text.len() > MAX_NAME {
+        return Err(ShardFault::Range(what));
+    }
+    Ok(text)
+}
+
+fn at_most(count: usize, most: usize, what: &'static str) -> Result<(), ShardFault> {
+    if count > most {
+        return Err(ShardFault::Range(what));
+    }
+    Ok(())
+}
+
+fn shard_id(shard: &ShardName) -> Result<ShardId, ShardFault> {
+    let id = ShardId { zone: shard.zone.clone(), index: shard.index };
+    ShardId::from_key(&id.key()).map_err(|_| ShardFault::Range("shard"))
+}
+
+fn holder_report(message: ReportMessage) -> Result<HolderReport, ShardFault> {
+    at_most(message.news.len(), MAX_MACHINES, "news")?;
+    at_most(message.shards.len(), MAX_SHARDS, "shards")?;
+    let shards: Result<Vec<HeldShard>, ShardFault> = message
+        .shards
+        .iter()
+        .map(|held| Ok(HeldShard { shard: shard_id(held)?, epoch: held.epoch, released: held.released }))
+        .collect();
+    let news: Result<Vec<MachineNews>, ShardFault> = message.news.into_iter().map(machine_news).collect();
+    let alive = alive::decode(&message.alive).map_err(|fault| ShardFault::Malformed(fault.to_string()))?;
+    Ok(HolderReport {
+        host: name(message.host, "host")?,
+        stamp: Stamp { boot: message.boot, sequence: message.sequence },
+        zone: message.zone,
+        term: message.term,
+        sees_records: message.sees_records,
+        shards: shards?,
+        stream: message.stream,
+        news: news?,
+        alive,
+        alive_age: Duration::from_millis(message.alive_age_ms),
+    })
+}
+
+fn machine_news(news: NewsMessage) -> Result<MachineNews, ShardFault> {
+    Ok(MachineNews {
+        number: news.number,
+        report: report(news.report)?,
+        proven: news.proven,
+        deaf: news.deaf,
+        unanswered: news.unanswered,
+        age: Duration::from_millis(news.age_ms),
+    })
+}
+
+fn task(job: &str, index: u32) -> Result<TaskId, ShardFault> {
+    let job = JobId::parse(job).map_err(|_| ShardFault::Range("job"))?;
+    Ok(TaskId { job, index })
+}
+
+fn report(message: WorkerReport) -> Result<Report, ShardFault> {
+    let listed = |listed: &ListedTask| {
+        let seen = SEEN.get(usize::from(listed.seen)).ok_or(ShardFault::Range("seen"))?;
+        Ok(Listed { task: task(&listed.job, listed.index)?, attempt: listed.attempt, seen: *seen })
+    };
+    let tasks: Result<Vec<Listed>, ShardFault> = message.tasks.iter().map(listed).collect();
+    Ok(Report {
+        host: name(message.host, "machine")?.as_str().into(),
+        address: message.address.as_str().into(),
+        rig: message.machine_type.as_str().into(),
+        zone: name(message.zone, "zone")?.as_str().into(),
+        spot: message.spot,
+        shift: message.session,
+        tick: message.tick,
+        token: message.token,
+        warning: message.warning_ms.map(Duration::from_millis),
+        tasks: tasks?.into(),
+    })
+}
+
+fn leader_orders(message: OrdersMessage) -> Result<LeaderOrders, ShardFault> {
+    at_most(message.machines.len(), MAX_MACHINES, "machines")?;
+    at_most(message.snapshot.len(), MAX_MACHINES, "snapshot")?;
+    at_most(message.shards.len(), MAX_SHARDS, "shards")?;
+    let shards: Result<Vec<(ShardId, u64)>, ShardFault> =
+        message.shards.iter().map(|shard| Ok((shard_id(shard)?, shard.epoch))).collect();
+    let shards = shards?;
+    let machine = |machine: MachineMessage| {
+        let shard = machine.shard as usize;
+        if shard >= shards.len() {
+            return Err(ShardFault::Range("shard of a machine"));
+        }
+        let orders: Result<Vec<Order>, ShardFault> = machine.orders.iter().map(order).collect();
+        let host = name(machine.host, "machine")?.as_str().into();
+        Ok(MachineOrders { host, shard, shift: machine.session, orders: orders? })
+    };
+    let machines: Result<Vec<MachineOrders>, ShardFault> =
+        message.machines.into_iter().map(machine).collect();
+    let snapshot: Result<Vec<Report>, ShardFault> = message.snapshot.into_iter().map(report).collect();
+    Ok(LeaderOrders {
+        host: name(message.host, "host")?,
+        stamp: Stamp { boot: message.boot, sequence: message.sequence },
+        answers: message.answers,
+        token: message.token,
+        latest_epoch: message.latest_epoch,
+        machines: machines?,
+        gone: message.gone.iter().map(|host| host.as_str().into()).collect(),
+        snapshot: snapshot?,
+        shards,
+    })
+}
+
+fn order(message: &OrderMessage) -> Result<Order, ShardFault> {
+    let (task, attempt) = (task(&message.job, message.index)?, message.attempt);
+    match message.kind {
+        RUN => Ok(Order::Run { task, attempt }),
+        KILL => Ok(Order::Kill { task, attempt, leeway: Duration::from_millis(message.leeway_ms) }),
+        REAP => Ok(Order::Reap { task, attempt }),
+        _ => Err(ShardFault::Range("command")),
+    }
+}
--- /dev/null
+++ b/crates/plankhead/src/sharding.rs
@@ -0,0 +1,80 @@
+//! The operators' file that divides machines among controllers.
+
+use crate::config;
+use plankhead_sharding::settings::Settings;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// The file as a schema, also for editors.
+pub const SCHEMA: &str = include_str!("../sharding.schema.json");
+
+/// Whether and how machines are divided among controllers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(test, derive(schemars::JsonSchema))]
+#[serde(deny_unknown_fields, default)]
+pub struct ShardingFile {
+    /// Whether machines are divided.
+    pub enabled: bool,
+    /// Parts that each zone's machines are divided into.
+    #[cfg_attr(test, schemars(range(min = 1, max = 64)))]
+    pub shards_per_zone: u32,
+    /// The part of another controller's load that the leader takes beside its own work.
+    #[cfg_attr(test, schemars(range(min = 0.01, max = 10.0)))]
+    pub leader_capacity: f64,
+    /// The share of its holder's load by which a move must gain.
+    #[cfg_attr(test, schemars(range(min = 0.05, max = 1.0)))]
+    pub hysteresis: f64,
+    /// Milliseconds between two moves for the sake of balance.
+    #[cfg_attr(test, schemars(range(min = 500, max = 3_600_000)))]
+    pub move_pause_ms: u64,
+    /// Milliseconds that a holder which is asked to let go is waited for.
+    #[cfg_attr(test, schemars(range(min = 100, max = 60_000)))]
+    pub release_timeout_ms: u64,
+    /// Milliseconds that a holder may be silent before its shards go to others.
+    #[cfg_attr(test, schemars(range(min = 1_500, max = 60_000)))]
+    pub holder_timeout_ms: u64,
+    /// Names of controllers that are to hold no shards.
+    pub drained: BTreeSet<String>,
+    /// Moves one shard every so many milliseconds whatever the balance, as a drill.
+    #[cfg_attr(test, schemars(range(min = 1_000, max = 86_400_000)))]
+    pub rotate_ms: Option<u64>,
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
+impl Default for ShardingFile {
+    fn default() -> Self {
+        let core = Settings::default();
+        Self {
+            enabled: core.enabled,
+            shards_per_zone: core.shards_per_zone,
+            leader_capacity: core.leader_capacity,
+            hysteresis: core.hysteresis,
+            move_pause_ms: millis(core.move_pause),
+            release_timeout_ms: millis(core.release_timeout),
+            holder_timeout_ms: millis(core.holder_timeout),
+            drained: core.drained,
+            rotate_ms: core.rotate.map(millis),
+        }
+    }
+}
+
+/// Checks the file against its schema, then reads it.
+pub fn parse(value: &Value, faults: &mut Vec<String>) -> Settings {
+    let file: ShardingFile = config::parse_checked("sharding settings", SCHEMA, value, faults);
+    Settings {
+        enabled: file.enabled,
+        shards_per_zone: file.shards_per_zone,
+        leader_capacity: file.leader_capacity,
+        hysteresis: file.hysteresis,
+        move_pause: Duration::from_millis(file.move_pause_ms),
+        release_timeout: Duration::from_millis(file.release_timeout_ms),
+        holder_timeout: Duration::from_millis(file.holder_timeout_ms),
+        drained: file.drained,
+        rotate: file.rotate_ms.map(Duration::from_millis),
+    }
+}
--- a/crates/plankhead/src/tests/mod.rs
+++ b/crates/plankhead/src/tests/mod.rs
@@ -6,4 +6,5 @@
 mod reachability;
 mod service;
 mod settings;
+mod shards;
 mod standins;
--- /dev/null
+++ b/crates/plankhead/src/tests/shards.rs
@@ -0,0 +1,172 @@
+//! The file that divides machines, the messages about shards, and what the subcommand finds.
+
+use crate::shard_messages::{decode, encode, MAX_WIRE};
+use crate::shard_table::Shards;
+use crate::sharding::{self, ShardingFile};
+use plankhead_core::job::JobId;
+use plankhead_core::protocol::{Cause, Listed, Order, Report, Seen, TaskId};
+use plankhead_core::shard_messages::{
+    HeldShard, HolderReport, LeaderOrders, MachineNews, MachineOrders, ShardFault, ShardMessage,
+};
+use plankhead_sharding::sequence::Stamp;
+use plankhead_sharding::shard::ShardId;
+use serde_json::{json, Value};
+use std::time::Duration;
+
+/// The committed schema is the one that the types describe.
+#[test]
+fn sharding_schema_is_current() {
+    let made = serde_json::to_string_pretty(&schemars::schema_for!(ShardingFile)).unwrap() + "\n";
+    if std::env::var_os("PLANKHEAD_WRITE_SCHEMA").is_some() {
+        std::fs::write(concat!(env!("CARGO_MANIFEST_DIR"), "/sharding.schema.json"), &made).unwrap();
+        return;
+    }
+    assert_eq!(sharding::SCHEMA, made, "run the tests once with PLANKHEAD_WRITE_SCHEMA=1");
+}
+
+#[test]
+fn every_fault_of_the_sharding_file_is_named() {
+    let faults = |value: Value| {
+        let mut faults = Vec::new();
+        sharding::parse(&value, &mut faults);
+        faults
+    };
+    assert_eq!(faults(json!({})), Vec::<String>::new());
+    let deployed = include_str!("../../../../deploy/sharding.json");
+    assert_eq!(faults(serde_json::from_str(deployed).unwrap()), Vec::<String>::new());
+    let bad = faults(json!({"enabled": 1, "shards_per_zone": 65, "drained": ["a", 2], "shards": 1}));
+    assert_eq!(bad.len(), 4, "{bad:?}");
+    for part in ["/enabled", "/shards_per_zone", "/drained/1", "shards"] {
+        assert!(bad.iter().any(|fault| fault.contains(part)), "{part} in {bad:?}");
+    }
+}
+
+fn task(index: u32) -> TaskId {
+    TaskId { job: JobId::parse("job-000412").unwrap(), index }
+}
+
+fn report(machine: u32, tasks: u32) -> Report {
+    let seen = [Seen::Running, Seen::Ended(Cause::Done), Seen::Pulling, Seen::Ended(Cause::Other)];
+    let listed = |n: u32| Listed { task: task(n), attempt: u64::from(n), seen: seen[n as usize % 4] };
+    Report {
+        host: format!("i-{machine:06}").as_str().into(),
+        address: "10.1.0.232:9000".into(),
+        rig: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+        shift: 3,
+        tick: 88,
+        token: 41,
+        warning: Some(Duration::from_secs(30)),
+        tasks: (0..tasks).map(listed).collect(),
+    }
+}
+
+fn holder_report(machines: u32) -> ShardMessage {
+    let news = |n: u32| MachineNews {
+        number: n,
+        report: report(n, 16),
+        proven: n % 2 == 0,
+        deaf: n % 3 == 0,
+        unanswered: n,
+        age: Duration::from_millis(70),
+    };
+    ShardMessage::Report(Box::new(HolderReport {
+        host: "plank-1".into(),
+        stamp: Stamp { boot: 5, sequence: 9 },
+        zone: "a".into(),
+        term: 40,
+        sees_records: true,
+        shards: vec![HeldShard { shard: ShardId { zone: "a".into(), index: 1 }, epoch: 44, released: true }],
+        stream: 2,
+        news: (0..machines).map(news).collect(),
+        alive: (0..50).collect(),
+        alive_age: Duration::from_millis(480),
+    }))
+}
+
+fn leader_orders() -> LeaderOrders {
+    let (run, reap) = (Order::Run { task: task(4), attempt: 2 }, Order::Reap { task: task(0), attempt: 1 });
+    let kill = Order::Kill { task: task(1), attempt: 1, leeway: Duration::from_secs(10) };
+    LeaderOrders {
+        host: "plank-0".into(),
+        stamp: Stamp { boot: 6, sequence: 10 },
+        answers: 9,
+        token: 40,
+        shards: vec![(ShardId { zone: "a".into(), index: 1 }, 44)],
+        latest_epoch: 45,
+        machines: vec![MachineOrders {
+            host: "i-000231".into(),
+            shard: 0,
+            shift: 3,
+            orders: vec![run, kill, reap],
+        }],
+        gone: vec!["i-000007".into()],
+        snapshot: vec![report(1, 3)],
+    }
+}
+
+#[test]
+fn messages_are_read_as_they_were_written() {
+    for message in [holder_report(1), holder_report(200), ShardMessage::Orders(Box::new(leader_orders()))] {
+        assert_eq!(decode(&encode(&message).unwrap()).unwrap(), message);
+    }
+    // A snapshot goes compressed: 200 machines with 16 tasks each.
+    let bytes = encode(&holder_report(200)).unwrap().len();
+    assert!(bytes < 60_000, "{bytes} bytes");
+}
+
+#[test]
+fn bad_messages_are_refused_with_their_reason() {
+    let good = encode(&holder_report(200)).unwrap();
+    let malformed = |bytes: &[u8]| matches!(decode(bytes), Err(ShardFault::Malformed(_)));
+    assert!(malformed(&[]) && malformed(&[7]) && malformed(&[0]) && malformed(&[1, 2]));
+    assert!(malformed(&good[..good.len() / 2]), "cut off");
+    assert_eq!(decode(&vec![0; MAX_WIRE + 1]), Err(ShardFault::TooLarge));
+    let bomb = [&[1u8][..], &u32::MAX.to_le_bytes(), &[0; 64]].concat();
+    assert_eq!(decode(&bomb), Err(ShardFault::TooLarge), "what it would become is looked at first");
+    // Every single byte that is wrong: refused or read as something, and never a panic.
+    let small = encode(&ShardMessage::Orders(Box::new(leader_orders()))).unwrap();
+    for at in 0..small.len() {
+        let mut bytes = small.clone();
+        bytes[at] ^= 0x55;
+        let _ = decode(&bytes);
+    }
+    let range = |change: &dyn Fn(&mut LeaderOrders)| {
+        let mut orders = leader_orders();
+        change(&mut orders);
+        let bytes = encode(&ShardMessage::Orders(Box::new(orders))).unwrap();
+        assert!(matches!(decode(&bytes), Err(ShardFault::Range(_))), "{:?}", decode(&bytes));
+    };
+    range(&|orders| orders.machines[0].shard = 1);
+    range(&|orders| orders.machines[0].host = "".into());
+    range(&|orders| orders.host = "x".repeat(201));
+    range(&|orders| orders.shards[0].0.index = 64);
+    range(&|orders| orders.machines = vec![orders.machines[0].clone(); 401]);
+}
+
+/// The subcommand says where records and controllers disagree.
+#[test]
+fn disagreements_about_shards_are_found() {
+    let record = |holder: &str| json!({"format": 1, "holder": holder, "term": 3, "shards": 4}).to_string();
+    let mut shards = Shards::default();
+    for (index, holder) in ["plank-0", "plank-1", "plank-1", "plank-2"].iter().enumerate() {
+        shards.table.write(&format!("shard/a/{index}"), &record(holder), 10).unwrap();
+    }
+    let row = |index: u32, epoch: u64| json!({"shard": format!("a/{index}"), "epoch": epoch, "machines": 5, "acts": true});
+    let led =
+        json!({"shard": "a/0", "epoch": 10, "machines": 7, "holder": "plank-0", "waitsFor": "its record"});
+    shards.take_view("plank-0", Some(&json!({"leader": {"sharding": {"shards": [led]}}})));
+    let held = json!({"holder": {"shards": [row(1, 10), row(2, 9), row(3, 8)]}});
+    shards.take_view("plank-1", Some(&json!({"leader": null, "sharding": held})));
+    shards.take_view("plank-2", None);
+    let found = shards.disagreements();
+    let expected = [
+        "a/2: plank-1 holds it under 9, its record says 10",
+        "a/3: plank-2 holds it and does not answer",
+        "a/3: plank-1 acts for it under 8, its record names plank-2",
+    ];
+    assert_eq!(found, expected);
+    let printed = shards.print();
+    assert!(printed.contains("leader: plank-0") && printed.contains("waits for its record"), "{printed}");
+}
--- a/crates/plankhead/src/views.rs
+++ b/crates/plankhead/src/views.rs
@@ -29,8 +29,8 @@
 /// The views by node; `None`: it did not answer.
 pub type Views = BTreeMap<String, Option<NodeView>>;
 
-/// Asks all controllers that the settings name, at the same time.
-pub async fn ask_all(config: &Config) -> Views {
+/// What all controllers that the settings name answer, as it comes, at the same time.
+pub async fn ask_views(config: &Config) -> BTreeMap<String, Option<Value>> {
     let own = (config.core.host.clone(), config.peer);
     let mut asked = tokio::task::JoinSet::new();
     for (host, address) in config.siblings.iter().cloned().chain([own]) {
@@ -39,11 +39,16 @@
     asked.join_all().await.into_iter().collect()
 }
 
-async fn ask(address: std::net::SocketAddr) -> Option<NodeView> {
+/// What they say of each other.
+pub async fn ask_all(config: &Config) -> Views {
+    let views = ask_views(config).await.into_iter();
+    views.map(|(host, view)| (host, view.as_ref().map(read))).collect()
+}
+
+async fn ask(address: std::net::SocketAddr) -> Option<Value> {
     let answer = Client::new(address).call(Method::GET, "/view", Vec::new(), PATIENCE).await;
     let (status, body) = answer.ok()?;
-    let view = serde_json::from_slice(&body).ok().filter(|_| status.is_success())?;
-    Some(read(&view))
+    serde_json::from_slice(&body).ok().filter(|_| status.is_success())
 }
 
 /// Reads what a controller answered; one without reachability says less.
--- a/crates/plankhead/src/wire.rs
+++ b/crates/plankhead/src/wire.rs
@@ -6,6 +6,7 @@
     Answer, Cause, Change, Condition, HostStatus, KeyEvent, Listed, ListedHost, Order, Report, Rig, Row,
     Seen, Status, TaskId,
 };
+use plankhead_core::shard_messages::Delivery;
 use plankhead_fencing::action::Rental;
 use serde::{Deserialize, Serialize, Serializer};
 use serde_json::value::RawValue;
@@ -163,6 +164,9 @@
         Answer::Elsewhere { foreman } => (421, text(&ElsewhereAnswer { foreman: foreman.as_deref() }), None),
         Answer::Relay { .. } => (421, text(&ElsewhereAnswer { foreman: None }), None),
         Answer::View(view) => (200, text(view), None),
+        Answer::Shard(Delivery::Taken) => (200, Vec::new(), None),
+        Answer::Shard(Delivery::Unsupported) => (404, error("machines are not divided"), None),
+        Answer::Shard(Delivery::NotTaken | Delivery::Lost) => (409, error("not taken"), None),
     }
 }
 
