--- a/crates/plankhead-core/src/holder/commands.rs
+++ b/crates/plankhead-core/src/holder/commands.rs
@@ -15,7 +15,8 @@
         let known = self.leader.as_ref().map_or(0, |leader| leader.token);
         let sent = self.sent.iter().find(|(sequence, _)| *sequence == message.answers);
         let late = sent.is_none_or(|(_, at)| now.saturating_sub(*at) > ORDERS_LIFE);
-        if late || message.token < known || self.guard.admit(&message.host, message.stamp).is_err() {
+        let number = (message.token, message.stamp.sequence);
+        if late || message.token < known || number <= self.latest_orders {
             self.refused += 1;
             return false;
         }
@@ -29,6 +30,7 @@
                 return false;
             }
         }
+        self.latest_orders = number;
         message.gone.iter().for_each(|host| self.forget(host));
         let named: BTreeSet<&ShardId> = message.shards.iter().map(|(shard, _)| shard).collect();
         let snapshot: Vec<&Report> = message.snapshot.iter().collect();
--- a/crates/plankhead-core/src/holder/mod.rs
+++ b/crates/plankhead-core/src/holder/mod.rs
@@ -18,7 +18,7 @@
 use crate::settings::Settings;
 use jobs::JobSight;
 use plankhead_sharding::alive::Numbers;
-use plankhead_sharding::sequence::{SequenceGuard, Stamp};
+use plankhead_sharding::sequence::Stamp;
 use plankhead_sharding::shard::ShardId;
 use plankhead_sharding::sight::Sight;
 use plankhead_sharding::table::ShardTable;
@@ -100,7 +100,9 @@
     shard_of: HashMap<HostName, ShardId>,
     commands: HashMap<HostName, Commands>,
     leader: Option<KnownLeader>,
-    guard: SequenceGuard,
+    /// The latest message of a leader: its token, which one start of one process has, and
+    /// its number.
+    latest_orders: (u64, u64),
     /// Messages that were refused, and commands that were under a token that is over.
     refused: u64,
     /// Machines whose latest report the leader has not been told.
@@ -110,6 +112,8 @@
     alive_since: Duration,
     numbers: Numbers,
     stream: u64,
+    /// The leader has been told the beginning of the stream.
+    stream_begun: bool,
     sequence: u64,
     /// When the latest messages were sent, by their numbers.
     sent: VecDeque<(u64, Duration)>,
@@ -143,13 +147,14 @@
             shard_of: HashMap::new(),
             commands: HashMap::new(),
             leader: None,
-            guard: SequenceGuard::default(),
+            latest_orders: (0, 0),
             refused: 0,
             news: BTreeSet::new(),
             alive: BTreeSet::new(),
             alive_since: Duration::ZERO,
             numbers: Numbers::default(),
             stream: 0,
+            stream_begun: false,
             sequence: 0,
             sent: VecDeque::new(),
             reporting: false,
@@ -229,6 +234,7 @@
     /// All machines are told of anew, under new numbers.
     fn restart_stream(&mut self) {
         self.stream += 1;
+        self.stream_begun = false;
         self.numbers = Numbers::default();
         self.alive.clear();
         self.news = self.fleet.machines.keys().cloned().collect();
--- a/crates/plankhead-core/src/holder/reporting.rs
+++ b/crates/plankhead-core/src/holder/reporting.rs
@@ -44,6 +44,7 @@
                 && standing.records.is_some_and(|at| now.saturating_sub(at) < RECORDS_SEEN),
             shards: self.held_shards(now),
             stream: self.stream,
+            first: !self.stream_begun,
             news,
             alive: numbers,
             alive_age: now.saturating_sub(self.alive_since),
@@ -99,7 +100,13 @@
         // Of an earlier leader, which all machines are told of anew since.
         let Some(known) = known else { return };
         known.unsupported = delivery == Delivery::Unsupported;
+        if delivery == Delivery::TellAll {
+            self.restart_stream();
+            self.report_due = now;
+            return;
+        }
         if delivery == Delivery::Taken {
+            self.stream_begun = true;
             self.report_due = now + HEARTBEAT;
             self.hasten(now);
             return;
--- a/crates/plankhead-core/src/leader/shards.rs
+++ b/crates/plankhead-core/src/leader/shards.rs
@@ -8,7 +8,7 @@
 use plankhead_sharding::alive::Names;
 use plankhead_sharding::balance::Candidate;
 use plankhead_sharding::registry::{Named, Reason, RecordWrite, Registry, Surroundings, WriteOutcome};
-use plankhead_sharding::sequence::{SequenceGuard, Stamp};
+use plankhead_sharding::sequence::{Admission, SequenceGuard, Stamp};
 use plankhead_sharding::shard::ShardId;
 use plankhead_sharding::table::ShardTable;
 
@@ -177,7 +177,7 @@
         let Some(shards) = self.shards.as_mut() else { return Delivery::Unsupported };
         let meant = sibling && message.term == self.token;
         let admitted = if meant { shards.guard.admit(&message.host, message.stamp).ok() } else { None };
-        let Some(restarted) = admitted else {
+        let Some(admission) = admitted else {
             shards.refused += 1;
             return Delivery::NotTaken;
         };
@@ -186,7 +186,9 @@
         peer.latest = message.stamp.sequence;
         peer.zone = message.zone;
         peer.sees_records = message.sees_records;
-        if restarted || peer.stream != message.stream {
+        let restarted = admission == Admission::OtherStart;
+        let other_stream = restarted || peer.stream != message.stream;
+        if other_stream {
             peer.stream = message.stream;
             peer.names = Names::default();
         }
@@ -212,10 +214,10 @@
                 self.fleet.heard_by_holder(&host, heard);
             }
         }
-        if taken {
-            Delivery::Taken
-        } else {
-            Delivery::NotTaken
+        match (taken, other_stream && !message.first) {
+            (false, _) => Delivery::NotTaken,
+            (true, true) => Delivery::TellAll,
+            (true, false) => Delivery::Taken,
         }
     }
 
--- a/crates/plankhead-core/src/shard_messages.rs
+++ b/crates/plankhead-core/src/shard_messages.rs
@@ -36,6 +36,8 @@
     pub shards: Vec<HeldShard>,
     /// Tells one numbering of machines from another.
     pub stream: u64,
+    /// The first message of its stream.
+    pub first: bool,
     /// Machines of which something is new.
     pub news: Vec<MachineNews>,
     /// Numbers of machines that reported with nothing new.
@@ -105,6 +107,8 @@
 pub enum Delivery {
     /// Taken in.
     Taken,
+    /// Taken in, by a leader that does not know the stream: all is to be told anew.
+    TellAll,
     /// Refused: its receiver is not whom it is meant for, or not yet.
     NotTaken,
     /// Its receiver does not divide machines.
--- a/crates/plankhead-core/tests/world/shards.rs
+++ b/crates/plankhead-core/tests/world/shards.rs
@@ -2,10 +2,18 @@
 
 use super::*;
 use plankhead_core::shard_messages::ShardMessage;
+use plankhead_sharding::sequence::Stamp;
 
 /// Until a message without an answer is given up.
 const PATIENCE: Duration = secs(1);
 
+/// A controller that has to do with the latest move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Whom {
+    OldHolder,
+    NextHolder,
+}
+
 fn node_of(name: &str) -> usize {
     name.trim_start_matches("plank-").parse().unwrap()
 }
@@ -20,6 +28,9 @@
     ) {
         let other = node_of(to);
         self.shard_messages += 1;
+        if let ShardMessage::Report(report) = &message {
+            self.latest_stamps.insert(node, report.stamp);
+        }
         let told = |delivery| Happening::ToNode { node, boot, event: Event::ShardTold { call, delivery } };
         let alone = self.alone[node].max(self.alone[other]);
         let open = self.now >= self.node_cut[other].max(alone) && self.peers_reach(node, other);
@@ -74,6 +85,40 @@
 }
 
 impl World {
+    pub(super) fn blow_at_move(&mut self, whom: Whom, blow: Blow) {
+        let Some((old, next)) = self.latest_move else { return };
+        self.befall(if whom == Whom::OldHolder { old } else { next }, blow);
+    }
+
+    /// The token of the leader's lease.
+    pub fn lease(&self) -> u64 {
+        self.kv.stamp("lead").unwrap()
+    }
+
+    /// The stamp of the latest message that a node sent as a holder, and its number.
+    pub fn latest_stamp(&self, node: usize) -> Stamp {
+        self.latest_stamps[&node]
+    }
+
+    pub fn latest_report(&self, node: usize) -> u64 {
+        self.latest_stamp(node).sequence
+    }
+
+    /// What a node does with a message that it gets from somewhere.
+    pub fn deliver(&mut self, node: usize, message: ShardMessage) -> (Delivery, Vec<Effect>) {
+        let times = self.times(node);
+        self.last_ask += 1;
+        let ask = self.last_ask;
+        let (_, core) = self.nodes[node].as_mut().unwrap();
+        let effects = core.step(times, vec![Event::Shard { ask, message: Ok(message) }]);
+        let answer = effects.iter().find_map(|effect| match effect {
+            Effect::Answer { ask: of, answer: Answer::Shard(delivery) } if *of == ask => Some(*delivery),
+            _ => None,
+        });
+        let rest = effects.into_iter().filter(|effect| !matches!(effect, Effect::Answer { .. }));
+        (answer.unwrap(), rest.collect())
+    }
+
     /// A node tells a machine something: under each token, only one node ever does.
     pub(super) fn acts(&mut self, node: usize, host: HostName, token: u64) {
         let first = *self.told_by.entry((host.clone(), token)).or_insert(node);
@@ -84,6 +129,9 @@
     pub(super) fn record_written(&mut self, key: &str, value: &str) {
         let record = plankhead_sharding::record::Record::read(value).unwrap();
         assert_eq!(self.kv.stamp("lead"), Some(record.term), "{key} was written without the lease");
+        if let Some(moving) = &record.moving {
+            self.latest_move = Some((node_of(&record.holder), node_of(&moving.to)));
+        }
         let before = self.shard_holders.insert(key.to_owned(), record.holder.clone());
         self.shard_moves += u32::from(before.is_some_and(|before| before != record.holder));
         self.moment(if record.moving.is_some() { Moment::MoveBegun } else { Moment::HolderNamed });
--- a/crates/plankhead-sharding/src/sequence.rs
+++ b/crates/plankhead-sharding/src/sequence.rs
@@ -1,5 +1,5 @@
-//! Which messages of a controller are news: each stream is numbered, and late copies,
-//! repeats and messages of an earlier start of the sender are refused.
+//! Which messages of a controller are news: each stream is numbered, and late copies and
+//! repeats are refused.
 
 use std::collections::HashMap;
 use thiserror::Error;
@@ -7,59 +7,41 @@
 /// What a message says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Stamp {
-    /// Tells one start of the sending process from another.
+    /// Tells one start of the sending process from another; in no order.
     pub boot: u64,
     /// Grows with every message of one start.
     pub sequence: u64,
 }
 
 #[derive(Debug, Error, Clone, Copy, PartialEq, Eq)]
-pub enum StaleMessage {
-    #[error("a late copy or a repeat")]
-    Sequence,
-    #[error("of an earlier start of its sender")]
-    Boot,
-}
-
-/// Starts of a sender that are remembered as over.
-const MAX_FORMER_BOOTS: usize = 8;
+#[error("a late copy or a repeat")]
+pub struct StaleMessage;
 
-#[derive(Debug, Default)]
-struct Stream {
-    latest: Option<Stamp>,
-    former_boots: Vec<u64>,
+/// What a message is to its receiver.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It follows the ones before.
+    Next,
+    /// Its sender has begun anew, or this is a late message of an earlier start. No start is
+    /// refused for good: whichever is the present one goes on sending, and is admitted again.
+    OtherStart,
 }
 
 /// The newest message of each sender.
 #[derive(Debug, Default)]
 pub struct SequenceGuard {
-    streams: HashMap<String, Stream>,
+    latest: HashMap<String, Stamp>,
 }
 
 impl SequenceGuard {
-    /// Admits a message, and tells whether its sender has started anew since the last one.
-    pub fn admit(&mut self, sender: &str, stamp: Stamp) -> Result<bool, StaleMessage> {
-        let stream = self.streams.entry(sender.into()).or_default();
-        if stream.former_boots.contains(&stamp.boot) {
-            return Err(StaleMessage::Boot);
+    /// Admits a message, or refuses it.
+    pub fn admit(&mut self, sender: &str, stamp: Stamp) -> Result<Admission, StaleMessage> {
+        let latest = self.latest.get(sender).filter(|latest| latest.boot == stamp.boot);
+        if latest.is_some_and(|latest| stamp.sequence <= latest.sequence) {
+            return Err(StaleMessage);
         }
-        let restarted = match stream.latest {
-            Some(latest) if latest.boot == stamp.boot => {
-                if stamp.sequence <= latest.sequence {
-                    return Err(StaleMessage::Sequence);
-                }
-                false
-            }
-            Some(latest) => {
-                stream.former_boots.push(latest.boot);
-                if stream.former_boots.len() > MAX_FORMER_BOOTS {
-                    stream.former_boots.remove(0);
-                }
-                true
-            }
-            None => true,
-        };
-        stream.latest = Some(stamp);
-        Ok(restarted)
+        let admission = if latest.is_some() { Admission::Next } else { Admission::OtherStart };
+        self.latest.insert(sender.into(), stamp);
+        Ok(admission)
     }
 }
--- a/crates/plankhead/src/peer.rs
+++ b/crates/plankhead/src/peer.rs
@@ -149,6 +149,7 @@
     pub async fn tell_shards(&self, bytes: Vec<u8>) -> Delivery {
         match self.shards.call(Method::POST, shard_messages::PATH, bytes, PATIENCE).await {
             Ok((StatusCode::OK, _)) => Delivery::Taken,
+            Ok((StatusCode::GONE, _)) => Delivery::TellAll,
             Ok((StatusCode::NOT_FOUND | StatusCode::METHOD_NOT_ALLOWED, _)) => Delivery::Unsupported,
             Ok(_) => Delivery::NotTaken,
             Err(_) => Delivery::Lost,
--- a/crates/plankhead/src/tests/shards.rs
+++ b/crates/plankhead/src/tests/shards.rs
@@ -79,6 +79,7 @@
         sees_records: true,
         shards: vec![HeldShard { shard: ShardId { zone: "a".into(), index: 1 }, epoch: 44, released: true }],
         stream: 2,
+        first: true,
         news: (0..machines).map(news).collect(),
         alive: (0..50).collect(),
         alive_age: Duration::from_millis(480),
--- a/crates/plankhead/src/wire.rs
+++ b/crates/plankhead/src/wire.rs
@@ -165,6 +165,7 @@
         Answer::Relay { .. } => (421, text(&ElsewhereAnswer { foreman: None }), None),
         Answer::View(view) => (200, text(view), None),
         Answer::Shard(Delivery::Taken) => (200, Vec::new(), None),
+        Answer::Shard(Delivery::TellAll) => (410, error("the stream is not known"), None),
         Answer::Shard(Delivery::Unsupported) => (404, error("machines are not divided"), None),
         Answer::Shard(Delivery::NotTaken | Delivery::Lost) => (409, error("not taken"), None),
     }
