--- a/crates/plankhead-core/tests/sharding.rs
+++ b/crates/plankhead-core/tests/sharding.rs
@@ -102,6 +102,65 @@
     assert!(moving <= allowed, "{moving:?} with moves, {resting:?} without");
 }
 
+/// Who ends in a measurement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ends {
+    Leader,
+    Holder,
+}
+
+/// From a controller's end to the next start on machines that it answered, in each of some
+/// histories of steady load, shortest first. Workers take four seconds to give it up.
+fn until_next_start(kind: Kind, ends: Ends) -> Vec<Duration> {
+    let one = |seed| {
+        let mut world = World::of(kind, seed, Troubles::default());
+        world.plan(120, secs(120));
+        for job in world.jobs.iter_mut().filter(|job| !job.spec.gang) {
+            (job.spec.scatter, job.spec.tasks, job.runs) = (false, job.spec.tasks.min(4), 2.0);
+        }
+        world.idle(secs(60));
+        let leader = world.leader().unwrap();
+        let holders = || (0..3).filter(|node| *node != leader);
+        let node = match ends {
+            Ends::Leader => leader,
+            Ends::Holder => holders().max_by_key(|node| world.machines_held_by(*node).len()).unwrap(),
+        };
+        let machines = world.machines_held_by(node);
+        let end = world.now;
+        world.after(Duration::ZERO, Happening::Crash { node });
+        world.idle(secs(40));
+        let there = |host| ends == Ends::Leader || machines.contains(host);
+        let next = world.start_times.iter().find(|(at, host)| *at > end && there(host));
+        next.map_or(secs(40), |(at, _)| *at - end)
+    };
+    let mut times: Vec<Duration> = (0..more(12)).map(one).collect();
+    times.sort();
+    times
+}
+
+/// Starts go on soon after a leader or a holder has ended, and no worker is left without an
+/// answer for long while its shard moves.
+#[test]
+fn starts_go_on_soon_after_an_end() {
+    let undivided = until_next_start(Kind { shards: false, ..RESTING }, Ends::Leader);
+    let divided = until_next_start(RESTING, Ends::Leader);
+    let holder = until_next_start(RESTING, Ends::Holder);
+    let middle = |times: &[Duration]| times[times.len() / 2];
+    for (what, times) in [("leader, undivided", &undivided), ("leader", &divided), ("holder", &holder)] {
+        println!(
+            "from an end of a {what} to the next start: {:?}, at most {:?}",
+            middle(times),
+            times.last()
+        );
+    }
+    assert!(middle(&divided) <= middle(&undivided) + secs(1), "{divided:?}, {undivided:?}");
+    assert!(middle(&holder) < secs(12), "{holder:?}");
+    let gap = |kind| play_one("gap", kind, Troubles::default(), 4, |_| {}).longest_gap;
+    let (resting, moving) = (gap(RESTING), gap(MOVING));
+    println!("the longest time between two answers: {resting:?} resting, {moving:?} moving");
+    assert!(moving <= MOVING.report.mul_f64(1.25) + secs(4), "{moving:?}");
+}
+
 /// What may befall a controller, shorter and longer than its lease.
 const BLOWS: [Blow; 9] = [
     End(ms(300)),
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -532,6 +532,10 @@
     pub shard_messages: u32,
     /// How often a shard changed hands.
     pub shard_moves: u32,
+    /// When tasks started, and where.
+    pub start_times: Vec<(Duration, HostName)>,
+    /// The longest time between two answers that renewed a lease.
+    pub longest_gap: Duration,
     /// The longest time for which urgent tasks waited although a machine had room.
     pub urgent_wait: Duration,
     urgent_look: Duration,
@@ -673,6 +677,8 @@
             terms: 0,
             shard_messages: 0,
             shard_moves: 0,
+            start_times: Vec::new(),
+            longest_gap: Duration::ZERO,
             urgent_wait: Duration::ZERO,
             urgent_look: Duration::ZERO,
             latest_stamps: HashMap::new(),
--- a/crates/plankhead-core/tests/world/shards.rs
+++ b/crates/plankhead-core/tests/world/shards.rs
@@ -90,6 +90,17 @@
         self.befall(if whom == Whom::OldHolder { old } else { next }, blow);
     }
 
+    /// The machines of the shards that a node holds, by the records.
+    pub fn machines_held_by(&self, node: usize) -> BTreeSet<HostName> {
+        let holders = self.holders();
+        let shards = plankhead_sharding::settings::Settings::default().shards_per_zone;
+        let held = |worker: &&Worker| {
+            let shard = plankhead_sharding::shard::ShardId::of(&worker.zone, &worker.name, shards);
+            holders.get(&shard.key()).is_some_and(|(holder, _)| *holder == node)
+        };
+        self.workers.values().filter(held).map(|worker| worker.name.clone()).collect()
+    }
+
     /// The token of the leader's lease.
     pub fn lease(&self) -> u64 {
         self.kv.stamp("lead").unwrap()
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -293,6 +293,7 @@
                 worker.expire(now);
                 if worker.shift == shift && token >= worker.token {
                     worker.token = token;
+                    self.longest_gap = self.longest_gap.max(sent.saturating_sub(worker.leased));
                     worker.leased = worker.leased.max(sent);
                     for order in orders {
                         self.obey(&host, order);
@@ -443,6 +444,7 @@
         let last = f64::from(task.index) / f64::from(job.spec.tasks.max(2) - 1);
         let runs = Duration::from_secs_f64(job.runs + job.spread * last);
         self.starts += 1;
+        self.start_times.push((now, host.clone()));
         if gang && !faulty {
             return self.gang_waits(host, task, attempt, shift);
         }
