One reader of keys for jobs and records; the gap at holders that nobody else reaches

The gap is played with holders cut from the other controllers now, and a start ordered before a cancellation is given to a holder that has seen it.

--- a/crates/plankhead-core/src/holder/mod.rs
+++ b/crates/plankhead-core/src/holder/mod.rs
@@ -10,6 +10,7 @@
 mod reporting;
 
 use crate::fleet::{Fleet, Heard, Leaving, Machine};
+use crate::key_watch;
 use crate::node::{Out, Purpose, Times};
 use crate::protocol::{
     Answer, CallError, HostName, Level, Order, OrdersReply, Report, Seen, StateReply, TaskId,
@@ -44,7 +45,7 @@
 /// What a holder's call is for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum HolderCall {
-    Jobs(jobs::Step),
+    Jobs(key_watch::Step),
     Orders { host: HostName, shift: u64, runs: Vec<(TaskId, u64)> },
     Report { leader: u64, machines: Vec<HostName> },
 }
@@ -259,7 +260,7 @@
     }
 
     fn sight(&self, standing: Standing) -> Sight {
-        Sight { jobs: self.jobs.seen, records: standing.records }
+        Sight { jobs: self.jobs.seen(), records: standing.records }
     }
 
     /// Answers a report of a machine in one of the shards. `adrift`: neither the state
@@ -342,7 +343,7 @@
     pub fn state_reply(
         &mut self,
         now: Duration,
-        step: jobs::Step,
+        step: key_watch::Step,
         reply: Result<StateReply, CallError>,
         requests: &mut RequestHandler,
         standing: Standing,
@@ -376,6 +377,6 @@
             })
             .collect();
         serde_json::json!({"shards": shards, "refused": self.refused,
-            "jobsSeenS": self.jobs.seen.map(|at| now.saturating_sub(at).as_secs_f64())})
+            "jobsSeenS": self.jobs.seen().map(|at| now.saturating_sub(at).as_secs_f64())})
     }
 }
--- a/crates/plankhead-core/src/lib.rs
+++ b/crates/plankhead-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod holder;
 pub mod job;
+pub mod key_watch;
 pub mod leader;
 pub mod ledger;
 pub mod node;
--- a/crates/plankhead-core/src/node/out.rs
+++ b/crates/plankhead-core/src/node/out.rs
@@ -6,7 +6,7 @@
 use crate::reach::ReachCall;
 use crate::requests::PendingRequest;
 use crate::shard_messages::ShardMessage;
-use crate::{election, shard_records, version_barrier};
+use crate::{election, key_watch, version_barrier};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -21,7 +21,7 @@
     Leader(u64, LeaderCall),
     Reach(ReachCall),
     /// The records of shards.
-    Records(shard_records::Step),
+    Records(key_watch::Step),
     Holder(HolderCall),
     Catalog,
 }
--- a/crates/plankhead-core/src/node/shards.rs
+++ b/crates/plankhead-core/src/node/shards.rs
@@ -3,10 +3,11 @@
 
 use super::*;
 use crate::holder::{Holder, HolderCall, Standing};
+use crate::key_watch;
 use crate::leader::LeaderRoute;
 use crate::protocol::OrdersReply;
 use crate::shard_messages::{Delivery, ShardFault, ShardMessage};
-use crate::shard_records::{self, RecordWatch};
+use crate::shard_records::RecordWatch;
 use plankhead_sharding::shard::ShardId;
 
 /// A record that was not seen for so long says nothing of who holds a shard now.
@@ -47,7 +48,7 @@
 
 impl Node {
     fn standing(&self, now: Duration) -> Standing {
-        let records = self.sharding.as_ref().and_then(|sharding| sharding.records.seen);
+        let records = self.sharding.as_ref().and_then(|sharding| sharding.records.seen());
         let failing = self.state_bad.is_some_and(|since| now.saturating_sub(since) > FAILING);
         Standing { records, failing, behind: self.lag > BEHIND }
     }
@@ -68,7 +69,7 @@
         }
         let (term, since) = sharding.term;
         let current = known.record.term >= term || now.saturating_sub(since) < FORMER_TERM;
-        let adrift = sharding.records.seen.is_none_or(|at| now.saturating_sub(at) > ADRIFT);
+        let adrift = sharding.records.seen().is_none_or(|at| now.saturating_sub(at) > ADRIFT);
         if !current || adrift {
             return HolderRoute::Leader;
         }
@@ -127,14 +128,14 @@
     pub(super) fn records_reply(
         &mut self,
         now: Duration,
-        step: shard_records::Step,
+        step: key_watch::Step,
         reply: Result<StateReply, CallError>,
     ) {
         let Some(sharding) = &mut self.sharding else { return };
         let changed = sharding.records.reply(now, step, reply, &mut self.out);
         let records = &sharding.records;
         if let Some(leader) = &mut self.leader {
-            return leader.learn_records(&records.table, records.seen, now);
+            return leader.learn_records(&records.table, records.seen(), now);
         }
         if changed {
             sharding.holder.adopt(&records.table, &mut self.out);
@@ -211,7 +212,7 @@
     pub(super) fn holder_leads(&mut self, times: Times) {
         let (Some(sharding), Some(leader)) = (&mut self.sharding, &mut self.leader) else { return };
         let records = &sharding.records;
-        leader.learn_records(&records.table, records.seen, times.now);
+        leader.learn_records(&records.table, records.seen(), times.now);
         for machine in sharding.holder.machines() {
             leader.inherit(times, machine, &mut self.out);
         }
@@ -237,7 +238,7 @@
             })
             .collect();
         serde_json::json!({"records": records, "malformed": sharding.malformed,
-            "recordsSeenS": sharding.records.seen.map(|at| now.saturating_sub(at).as_secs_f64()),
+            "recordsSeenS": sharding.records.seen().map(|at| now.saturating_sub(at).as_secs_f64()),
             "holder": sharding.holder.view(now)})
     }
 }
--- a/crates/plankhead-core/tests/sharding.rs
+++ b/crates/plankhead-core/tests/sharding.rs
@@ -312,25 +312,63 @@
     }
 }
 
-/// The gap with a holder in the leader's place: the state service refuses it alone, jobs are
-/// cancelled through other nodes, and then it is out for all for longer than a cancellation
-/// may take, while workers keep reporting to the holder. Leases must run out in time.
+/// The gap with holders in the leader's place: the state service refuses them alone, no other
+/// controller reaches them, jobs are cancelled through the leader, and then the state service is
+/// out for all for longer than a cancellation may take, while workers keep reporting to their
+/// holders. Leases must run out in time.
 #[test]
 fn the_gap_at_a_holder() {
     for (hang, refused, outage) in [(0, 200, 1000), (0, 1300, 1700), (70, 200, 1000)] {
-        play("gap", RESTING, Troubles::default(), 4, |world| {
-            long(world, 70.0);
-            for node in 1..3 {
-                let until = world.now + secs(30) + secs(14);
-                world.after(secs(30), Happening::Refuse { node, until });
-            }
-            world.after(secs(30) + ms(refused), Happening::CancelNow { count: 12, hang: secs(hang) });
-            let until = world.now + secs(30) + SMALL.cancel + secs(18);
-            world.after(secs(30) + ms(outage), Happening::Outage { until });
-        });
+        for peers in [false, true] {
+            play("gap", RESTING, Troubles::default(), 4, |world| {
+                long(world, 70.0);
+                let leader = 0;
+                for node in (0..3).filter(|node| *node != leader) {
+                    let until = world.now + secs(30) + secs(14);
+                    world.after(secs(30), Happening::Refuse { node, until });
+                    if peers {
+                        world.cut_links(node, &PEER_LINKS, How::Stall, (30, 95));
+                    }
+                }
+                world.after(secs(30) + ms(refused), Happening::CancelNow { count: 12, hang: secs(hang) });
+                let until = world.now + secs(30) + SMALL.cancel + secs(18);
+                world.after(secs(30) + ms(outage), Happening::Outage { until });
+            });
+        }
     }
 }
 
+/// A start that the leader ordered before it heard of the cancellation is not passed on by a
+/// holder that has.
+#[test]
+fn a_holder_starts_nothing_of_a_cancelled_job() {
+    let mut world = divided();
+    long(&mut world, 60.0);
+    world.after(secs(10), Happening::CancelNow { count: 1, hang: secs(20) });
+    world.idle(secs(13));
+    let (key, (node, epoch)) = world.holders().into_iter().find(|(_, (node, _))| *node != 0).unwrap();
+    let shard = ShardId::from_key(&key).unwrap();
+    let here =
+        |host: &plankhead_core::protocol::HostName| ShardId::of(&world.workers[host].zone, host, 2) == shard;
+    let machine = world.machines_held_by(node).into_iter().find(here).unwrap();
+    // The first start is the cancelled job's: were it sent, the machine would be busy with it.
+    let runs = |world: &mut World, cancelled: bool| {
+        let of = |job: &&world::Job| job.accepted && job.cancelled.is_some() == cancelled;
+        let job = world.jobs.iter().find(of).unwrap().id.clone();
+        let (token, answers) = (world.lease(), world.latest_report(node));
+        let mut orders = orders(token, answers, vec![(shard.clone(), epoch)]);
+        orders.stamp.sequence += u64::from(!cancelled);
+        orders.machines[0].host = machine.clone();
+        orders.machines[0].orders = vec![Order::Run { task: TaskId { job, index: 90 }, attempt: 9 }];
+        let (delivery, effects) = world.deliver(node, ShardMessage::Orders(Box::new(orders)));
+        assert_eq!(delivery, Delivery::Taken);
+        let run = |order: &Order| matches!(order, Order::Run { task, .. } if task.index == 90);
+        effects.iter().any(|effect| matches!(effect, Effect::Orders { orders, .. } if orders.iter().any(run)))
+    };
+    assert!(!runs(&mut world, true), "a cancelled job's");
+    assert!(runs(&mut world, false), "a live job's is passed on");
+}
+
 /// Gangs over several shards of which one moves, and teams at their limits.
 #[test]
 fn gangs_and_full_teams_while_shards_move() {
--- a/crates/plankhead-sharding/src/table.rs
+++ b/crates/plankhead-sharding/src/table.rs
@@ -66,8 +66,8 @@
     }
 
     /// Forgets all but what the given keys name: after the records were read anew.
-    pub fn retain_keys(&mut self, keys: &[&str]) {
-        self.records.retain(|shard, _| keys.contains(&shard.key().as_str()));
+    pub fn retain_keys(&mut self, keys: &[String]) {
+        self.records.retain(|shard, _| keys.contains(&shard.key()));
     }
 
     /// The shard of a machine, where its zone is divided.
