Shards: a process that begins anew acts only once it is named anew

Need: a holder that was back within a fraction of a second went on under its former epoch; a start that its former life had sent straight to a worker could come after a reap under the same token and run again. A record names the start of the process, the leader names it anew, and the random histories and the model count starts instead of names. Found by reading; the planted fault is caught by the crate's histories.

--- a/crates/plankhead-core/src/holder/mod.rs
+++ b/crates/plankhead-core/src/holder/mod.rs
@@ -168,7 +168,8 @@
 
     /// Takes in the records: which shards this node holds, and under which epoch.
     pub fn adopt(&mut self, table: &ShardTable, out: &mut Out) {
-        let own = |known: &plankhead_sharding::table::KnownRecord| known.record.holder == self.settings.host;
+        let (host, boot) = (&self.settings.host, self.settings.boot);
+        let own = |known: &plankhead_sharding::table::KnownRecord| known.record.is_held_by(host, boot);
         let held = table.iter().filter(|(_, known)| own(known)).map(|(shard, known)| {
             let held = Held {
                 epoch: known.epoch(),
--- a/crates/plankhead-core/src/leader/shards/mod.rs
+++ b/crates/plankhead-core/src/leader/shards/mod.rs
@@ -41,6 +41,8 @@
 #[derive(Debug, Default)]
 struct Peer {
     heard: Duration,
+    /// Which start of its process it is.
+    boot: u64,
     zone: String,
     sees_records: bool,
     stream: u64,
@@ -161,6 +163,9 @@
         let Some(report) = &machine.report else { return };
         self.hear(times, report, false, out);
         self.vouch(&report.host, machine.proven, machine.heard);
+        if let Some(own) = self.fleet.machines.get_mut(&report.host) {
+            own.relayed = machine.relayed;
+        }
     }
 
     /// A holder of the machine's shard has seen whether it is there, and when it heard it.
--- a/crates/plankhead-core/src/leader/shards/records.rs
+++ b/crates/plankhead-core/src/leader/shards/records.rs
@@ -10,10 +10,11 @@
         let Some(shards) = &self.shards else { return around };
         let there =
             |peer: &&Peer| peer.sees_records && now.saturating_sub(peer.heard) < settings.holder_timeout;
-        let own = (&self.settings.host, &self.settings.zone, settings.leader_capacity);
+        let own = (&self.settings.host, &self.settings.zone, settings.leader_capacity, self.settings.boot);
         let peers = shards.peers.iter().filter(|(_, peer)| there(peer));
-        for (host, zone, capacity) in peers.map(|(host, peer)| (host, &peer.zone, 1.0)).chain([own]) {
-            around.alive.insert(host.clone());
+        let peers = peers.map(|(host, peer)| (host, &peer.zone, 1.0, peer.boot));
+        for (host, zone, capacity, boot) in peers.chain([own]) {
+            around.alive.insert(host.clone(), boot);
             if !settings.drained.contains(host) {
                 let (host, zone) = (host.clone(), zone.clone());
                 around.candidates.push(Candidate { host, zone, capacity });
--- a/crates/plankhead-core/src/leader/shards/reports.rs
+++ b/crates/plankhead-core/src/leader/shards/reports.rs
@@ -16,6 +16,7 @@
         };
         let peer = shards.peers.entry(message.host.clone()).or_default();
         peer.heard = now;
+        peer.boot = message.stamp.boot;
         peer.latest = message.stamp.sequence;
         peer.zone = message.zone;
         peer.sees_records = message.sees_records;
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -544,8 +544,8 @@
     latest_move: Option<(usize, usize)>,
     /// By whom each shard was last held.
     shard_holders: BTreeMap<String, String>,
-    /// Which node told each machine something under each token.
-    told_by: HashMap<(HostName, u64), usize>,
+    /// Which start of which node told each machine something under each token.
+    told_by: HashMap<(HostName, u64), (usize, u64)>,
     /// Nodes whose `apart` concerns the other half of the machines.
     pub other_half: [bool; 3],
     pub clocks: [Clock; 3],
@@ -1288,7 +1288,7 @@
                 if let Answer::Beat { token, orders } = &answer {
                     if let Some((_, Asked::Beat { host, .. })) = self.asks.get(&(node, boot, ask)) {
                         let host = host.clone();
-                        self.acts(node, host, *token);
+                        self.acts(actor, host, *token);
                     }
                     self.sent(*token, orders);
                 }
@@ -1342,7 +1342,7 @@
                 assert!(!starts || self.lag.is_zero(), "a start of its own while behind");
                 self.sent(token, &orders);
                 let host: HostName = address.as_ref().trim_start_matches("at-").into();
-                self.acts(node, host.clone(), token);
+                self.acts(actor, host.clone(), token);
                 let held = self.troubles.held > 0.0 && self.chance(self.troubles.held);
                 let delay = if held { self.between(1000, 9000) } else { self.between(1, 5) };
                 if delay > secs(2) {
--- a/crates/plankhead-core/tests/world/shards.rs
+++ b/crates/plankhead-core/tests/world/shards.rs
@@ -130,10 +130,11 @@
         (answer.unwrap(), rest.collect())
     }
 
-    /// A node tells a machine something: under each token, only one node ever does.
-    pub(super) fn acts(&mut self, node: usize, host: HostName, token: u64) {
-        let first = *self.told_by.entry((host.clone(), token)).or_insert(node);
-        assert_eq!(first, node, "two nodes tell {host} something under {token}");
+    /// A process tells a machine something: under each token, only one ever does.
+    pub(super) fn acts(&mut self, actor: fencing::Actor, host: HostName, token: u64) {
+        let start = (actor.node, actor.boot);
+        let first = *self.told_by.entry((host.clone(), token)).or_insert(start);
+        assert_eq!(first, start, "two processes tell {host} something under {token}");
     }
 
     /// A record of a shard was written: by the holder of the lease alone.
--- a/crates/plankhead-sharding/src/record.rs
+++ b/crates/plankhead-sharding/src/record.rs
@@ -13,6 +13,9 @@
 pub struct Record {
     pub format: u32,
     pub holder: String,
+    /// Which start of the holder's process: one that has begun anew knows nothing of starts
+    /// that the former one sent, and is to be named anew before it acts.
+    pub boot: u64,
     /// The fencing token of the leader that wrote it.
     pub term: u64,
     /// How many shards the zone has.
@@ -42,8 +45,13 @@
 }
 
 impl Record {
-    pub fn held(holder: &str, term: u64, shards: u32) -> Self {
-        Self { format: FORMAT, holder: holder.into(), term, shards, moving: None }
+    pub fn held(holder: &str, boot: u64, term: u64, shards: u32) -> Self {
+        Self { format: FORMAT, holder: holder.into(), boot, term, shards, moving: None }
+    }
+
+    /// Whether this start of a process holds the shard.
+    pub fn is_held_by(&self, host: &str, boot: u64) -> bool {
+        self.holder == host && self.boot == boot
     }
 
     pub fn read(value: &str) -> Result<Self, RecordFault> {
--- a/crates/plankhead-sharding/src/registry.rs
+++ b/crates/plankhead-sharding/src/registry.rs
@@ -40,6 +40,8 @@
     ReleaseTimedOut,
     /// The holder is silent, or gone.
     Silent,
+    /// The holder's process has begun anew.
+    Restarted,
     /// Whoever was to hold the shard next is gone: the holder keeps it.
     Undone,
 }
@@ -84,6 +86,8 @@
     state: ShardState,
     /// The term under which the record was last written.
     term: u64,
+    /// Which start of the holder's process was named.
+    boot: u64,
     revision: u64,
     /// Since when it is in this state, by this leader's clock.
     since: Duration,
@@ -95,8 +99,9 @@
 /// What the leader knows of the other controllers, and of the machines.
 #[derive(Debug, Clone, Default)]
 pub struct Surroundings {
-    /// Controllers that are heard and see the records, the leader's own among them.
-    pub alive: BTreeSet<String>,
+    /// Controllers that are heard and see the records, the leader's own among them, and which
+    /// start of its process each of them is.
+    pub alive: BTreeMap<String, u64>,
     /// Those of them that may take shards.
     pub candidates: Vec<Candidate>,
     /// Machines by shard.
@@ -153,6 +158,7 @@
                 None => ShardState::Held { holder, epoch },
             };
             (entry.revision, entry.term, entry.since) = (known.revision, record.term, now);
+            entry.boot = record.boot;
         }
         for entry in self.entries.values_mut() {
             if entry.doubt.is_some_and(|lost| seen.is_some_and(|seen| seen > lost)) {
@@ -296,7 +302,7 @@
         if entry.writing {
             return None;
         }
-        let name = |holder: &str, reason| Some(self.naming(shard, entry, holder, reason));
+        let name = |holder: &str, reason| self.naming(shard, entry, around, holder, reason);
         let choose = |reason| {
             let chosen = balance::choose(shard, &around.candidates, holdings)?;
             name(&chosen.host, reason)
@@ -308,7 +314,7 @@
         if entry.term != self.term {
             let former = [(next, Reason::Finished), (Some(holder), Reason::Renewed)];
             let there =
-                former.into_iter().find(|(host, _)| host.is_some_and(|host| around.alive.contains(host)));
+                former.into_iter().find(|(host, _)| host.is_some_and(|host| around.alive.contains_key(host)));
             return match there {
                 Some((Some(host), reason)) => name(host, reason),
                 _ if settled => choose(Reason::Silent),
@@ -318,7 +324,7 @@
         if let Some(next) = next {
             let released = matches!(entry.state, ShardState::Released { .. });
             let late = now.saturating_sub(entry.since) >= self.settings.release_timeout;
-            let gone = !around.alive.contains(holder);
+            let gone = around.alive.get(holder) != Some(&entry.boot);
             return match (around.takes(next), released || late || gone) {
                 (true, true) if released => name(next, Reason::Released),
                 (true, true) => name(next, Reason::ReleaseTimedOut),
@@ -327,15 +333,24 @@
                 (false, _) => choose(Reason::Silent),
             };
         }
-        if !around.alive.contains(holder) {
-            return choose(Reason::Silent);
+        match around.alive.get(holder) {
+            None => choose(Reason::Silent),
+            Some(boot) if *boot != entry.boot => name(holder, Reason::Restarted),
+            Some(_) => None,
         }
-        None
     }
 
-    fn naming(&self, shard: &ShardId, entry: &Entry, holder: &str, reason: Reason) -> RecordWrite {
-        let record = Record::held(holder, self.term, self.settings.shards_per_zone);
-        self.write(shard, entry, Some(record), reason)
+    fn naming(
+        &self,
+        shard: &ShardId,
+        entry: &Entry,
+        around: &Surroundings,
+        holder: &str,
+        reason: Reason,
+    ) -> Option<RecordWrite> {
+        let boot = *around.alive.get(holder)?;
+        let record = Record::held(holder, boot, self.term, self.settings.shards_per_zone);
+        Some(self.write(shard, entry, Some(record), reason))
     }
 
     fn write(&self, shard: &ShardId, entry: &Entry, record: Option<Record>, reason: Reason) -> RecordWrite {
@@ -361,10 +376,11 @@
         let holder = entry.state.holder()?.to_owned();
         // The leader lets go in the same step.
         if holder == self.own {
-            return Some(self.naming(&shard, entry, &to, reason));
+            return self.naming(&shard, entry, around, &to, reason);
         }
         let moving = Some(Moving { epoch: entry.state.epoch(), to });
-        let record = Record { moving, ..Record::held(&holder, self.term, self.settings.shards_per_zone) };
+        let record =
+            Record { moving, ..Record::held(&holder, entry.boot, self.term, self.settings.shards_per_zone) };
         Some(self.write(&shard, entry, Some(record), reason))
     }
 
@@ -459,6 +475,7 @@
             entry.state = state;
         }
         (entry.revision, entry.term, entry.since, entry.doubt) = (revision, record.term, now, None);
+        entry.boot = record.boot;
         if record.moving.is_some() {
             return None;
         }
--- a/crates/plankhead-sharding/tests/histories.rs
+++ b/crates/plankhead-sharding/tests/histories.rs
@@ -67,16 +67,22 @@
     given_up: bool,
 }
 
-/// Who a controller takes itself for, by a record.
-type Acts = fn(&KnownRecord) -> String;
+/// Whether a controller, in this start of its process, acts by a record.
+type Acts = fn(&KnownRecord, &str, u64) -> bool;
 
-fn by_record(known: &KnownRecord) -> String {
-    known.record.holder.clone()
+fn by_record(known: &KnownRecord, host: &str, boot: u64) -> bool {
+    known.record.is_held_by(host, boot)
 }
 
 /// A planted fault: the next holder acts as soon as the move begins.
-fn too_early(known: &KnownRecord) -> String {
-    known.record.moving.as_ref().map_or(known.record.holder.clone(), |moving| moving.to.clone())
+fn too_early(known: &KnownRecord, host: &str, boot: u64) -> bool {
+    let next = known.record.moving.as_ref().is_some_and(|moving| moving.to == host);
+    next || by_record(known, host, boot)
+}
+
+/// A planted fault: a process that has begun anew goes on under its former epoch.
+fn in_any_start(known: &KnownRecord, host: &str, _: u64) -> bool {
+    known.record.holder == host
 }
 
 struct World {
@@ -89,9 +95,11 @@
     tables: [ShardTable; 3],
     read_at: [Option<Duration>; 3],
     there: [bool; 3],
+    /// Which start of its process each controller is.
+    boots: [u64; 3],
     under_way: Vec<UnderWay>,
-    /// Who has acted under each epoch.
-    acted: BTreeMap<(ShardId, u64), String>,
+    /// Which start of which controller has acted under each epoch.
+    acted: BTreeMap<(ShardId, u64), (String, u64)>,
     acts: Acts,
 }
 
@@ -106,6 +114,7 @@
             tables: Default::default(),
             read_at: [None; 3],
             there: [true; 3],
+            boots: [1, 2, 3],
             under_way: Vec::new(),
             acted: BTreeMap::new(),
             acts,
@@ -126,7 +135,10 @@
         };
         let candidates: Vec<Candidate> = there.map(candidate).collect();
         Surroundings {
-            alive: candidates.iter().map(|candidate| candidate.host.clone()).collect(),
+            alive: (0..3)
+                .filter(|host| self.there[*host] || *host == own)
+                .map(|host| (HOSTS[host].to_owned(), self.boots[host]))
+                .collect(),
             candidates,
             machines: BTreeMap::new(),
             zones: ZONES.iter().map(|zone| (*zone).to_owned()).collect(),
@@ -212,11 +224,11 @@
 
     /// Every controller acts by what it has read last, however old that is.
     fn act(&mut self) -> Result<(), TestCaseError> {
-        for (host, table) in HOSTS.iter().zip(&self.tables) {
-            for (shard, known) in table.iter().filter(|(_, known)| (self.acts)(known) == **host) {
-                let key = (shard.clone(), known.epoch());
-                let first = self.acted.entry(key.clone()).or_insert_with(|| (*host).to_owned());
-                prop_assert_eq!(&*first, *host, "two holders under {:?}", key);
+        for ((host, boot), table) in HOSTS.iter().zip(self.boots).zip(&self.tables) {
+            for (shard, known) in table.iter().filter(|(_, known)| (self.acts)(known, host, boot)) {
+                let (key, actor) = ((shard.clone(), known.epoch()), ((*host).to_owned(), boot));
+                let first = self.acted.entry(key.clone()).or_insert_with(|| actor.clone());
+                prop_assert_eq!(&*first, &actor, "two holders under {:?}", key);
             }
         }
         Ok(())
@@ -230,7 +242,10 @@
             Step::GiveUp(which) => self.give_up(which),
             Step::Read(host) => self.read(host),
             Step::TellReleased { holder, leader } => self.tell_released(holder, leader),
-            Step::Toggle(host) => self.there[host] = !self.there[host],
+            Step::Toggle(host) => {
+                self.there[host] = !self.there[host];
+                self.boots[host] += 10;
+            }
             Step::Pass(ms) => self.now += Duration::from_millis(ms),
         }
         self.act()
@@ -283,7 +298,9 @@
 }
 
 #[test]
-fn a_holder_that_acts_too_early_is_caught() {
-    let found = runs(too_early, 600).expect_err("the check finds nothing");
-    assert!(found.contains("two holders under"), "{found}");
+fn holders_that_act_without_being_named_are_caught() {
+    for fault in [too_early as Acts, in_any_start] {
+        let found = runs(fault, 600).expect_err("the check finds nothing");
+        assert!(found.contains("two holders under"), "{found}");
+    }
 }
--- a/crates/plankhead-sharding/tests/rules.rs
+++ b/crates/plankhead-sharding/tests/rules.rs
@@ -64,10 +64,10 @@
         assert!(ShardId::from_key(key).is_err(), "{key}");
     }
     let moving = Some(Moving { epoch: 7, to: "b".into() });
-    let record = Record { moving, ..Record::held("a", 5, 2) };
+    let record = Record { moving, ..Record::held("a", 3, 5, 2) };
     let text = serde_json::to_string(&record).unwrap();
     assert_eq!(Record::read(&text).unwrap(), record);
-    assert_eq!((record.epoch(9), Record::held("a", 5, 2).epoch(9)), (7, 9));
+    assert_eq!((record.epoch(9), Record::held("a", 3, 5, 2).epoch(9)), (7, 9));
     assert!(matches!(
         Record::read(&text.replace("\"format\":1", "\"format\":2")),
         Err(RecordFault::Format(2))
@@ -78,7 +78,7 @@
 
 #[test]
 fn a_table_keeps_the_newest_and_drops_what_it_cannot_read() {
-    let text = |holder| serde_json::to_string(&Record::held(holder, 5, 2)).unwrap();
+    let text = |holder| serde_json::to_string(&Record::held(holder, 3, 5, 2)).unwrap();
     let mut table = ShardTable::default();
     let shard = ShardId { zone: "x".into(), index: 0 };
     table.write("shard/x/0", &text("b"), 9).unwrap();
--- a/crates/plankhead/src/tests/shards.rs
+++ b/crates/plankhead/src/tests/shards.rs
@@ -149,7 +149,8 @@
 /// The subcommand says where records and controllers disagree.
 #[test]
 fn disagreements_about_shards_are_found() {
-    let record = |holder: &str| json!({"format": 1, "holder": holder, "term": 3, "shards": 4}).to_string();
+    let record =
+        |holder: &str| json!({"format": 1, "holder": holder, "boot": 1, "term": 3, "shards": 4}).to_string();
     let mut shards = Shards::default();
     for (index, holder) in ["plank-0", "plank-1", "plank-1", "plank-2"].iter().enumerate() {
         shards.table.write(&format!("shard/a/{index}"), &record(holder), 10).unwrap();
