Service tests: ports that no connection is given, and a node that ends is heard

a_strange_answer_to_a_commit_is_looked_up failed once, beside load: no answer for 20 s. Cause: the tests planned ports of the range that the system gives to connections; one of another test's 400 was there before the node, which could not listen and ended, and its error was dropped. The ports are drawn as the stand-ins draw theirs now, and the end of a node is a panic of its own.

--- a/crates/plankhead-standins/src/nodes.rs
+++ b/crates/plankhead-standins/src/nodes.rs
@@ -54,7 +54,8 @@
 /// Ports that are tried at the most.
 const MOST_TRIES: usize = 1_000;
 
-fn free() -> std::io::Result<SocketAddr> {
+/// A loopback address that nobody has at the moment, and that no connection will be given.
+pub fn free() -> std::io::Result<SocketAddr> {
     let mut random = rand::rng();
     let drawn = (0..MOST_TRIES).map(|_| SocketAddr::from(([127, 0, 0, 1], random.random_range(PORTS))));
     let mut unused = drawn.filter(|address| TcpListener::bind(address).is_ok());
--- a/crates/plankhead/src/tests/service.rs
+++ b/crates/plankhead/src/tests/service.rs
@@ -22,8 +22,10 @@
     peer: SocketAddr,
 }
 
+/// A port that the system gives to no connection: one of these was taken by another test's
+/// before the node had bound it, which ended unheard, and the test waited for 20 s in vain.
 fn free() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    plankhead_standins::nodes::free().unwrap()
 }
 
 async fn start() -> Service {
@@ -34,7 +36,10 @@
     settings["peer_bind"] = json!(peer.to_string());
     settings["endpoints"] = json!({"cloud": cloud.to_string(), "state": state.to_string()});
     let config = parse(&settings, Operator::default(), &mut Vec::new());
-    tokio::spawn(driver::run(config));
+    tokio::spawn(async move {
+        let ended = driver::run(config).await;
+        panic!("the node ended: {ended:?}");
+    });
     let service = Service { world, api, users: Client::new(api), peers: Client::new(peer), peer };
     // Ready once the machine types are known: an impossible job is told so.
     let impossible = job("job-000000", 1, json!({"crew": "nobody"}));
