--- a/crates/plankhead-standins/tests/stop.rs
+++ b/crates/plankhead-standins/tests/stop.rs
@@ -7,9 +7,12 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// Starts a shell that says when it is set up, and waits for that.
+/// Starts a shell that says when it is set up, and waits for that. It does not ignore the
+/// interrupt by itself: where this test runs in the background, its children would, and a shell
+/// can't trap what it was started to ignore.
 fn start(script: &str) -> Child {
-    let mut child = Command::new("sh").args(["-c", script]).stdout(Stdio::piped()).spawn().unwrap();
+    let shell = ["--default-signal=INT", "sh", "-c", script];
+    let mut child = Command::new("env").args(shell).stdout(Stdio::piped()).spawn().unwrap();
     child.stdout.as_mut().unwrap().read_exact(&mut [0]).unwrap();
     child
 }
