--- /dev/null
+++ b/crates/plankhead-standins/src/bin/cluster.rs
@@ -0,0 +1,70 @@
+//! A small cluster on loopback to try: three controllers, a state service, a cloud and
+//! workers. It takes jobs until it is interrupted:
+//!
+//!     cargo run --release -p plankhead-standins --bin cluster
+//!
+//! The controllers are this program, too, started with their settings.
+
+use clap::Parser;
+use plankhead_standins::surroundings::Surroundings;
+use plankhead_standins::Load;
+use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Arguments of a controller, which this program passes on to itself.
+const NODE_ARGUMENT: &str = "--config";
+
+#[derive(Debug, Parser)]
+struct Args {
+    /// Controllers.
+    #[arg(long, default_value_t = 3)]
+    nodes: usize,
+    /// Machines that the cloud has.
+    #[arg(long, default_value_t = 10)]
+    machines: usize,
+    /// Further arguments of every controller, such as `--sharding deploy/sharding.json`.
+    #[arg(long, default_value = "", allow_hyphen_values = true)]
+    node_arguments: String,
+}
+
+impl Args {
+    fn load(self) -> std::io::Result<Load> {
+        let mut load = Load::parse_from(["cluster", "--boot-s=1", "--jobs=1"]);
+        load.binary = std::env::current_exe()?;
+        load.nodes = self.nodes;
+        load.machines = self.machines;
+        load.node_arguments = self.node_arguments;
+        Ok(load)
+    }
+}
+
+fn main() -> std::io::Result<ExitCode> {
+    if std::env::args().any(|argument| argument == NODE_ARGUMENT) {
+        return Ok(plankhead::cli::main());
+    }
+    let load = Args::parse().load()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(run(load))
+}
+
+async fn run(load: Load) -> std::io::Result<ExitCode> {
+    let around = Surroundings::start(&load).await?;
+    let mut interrupted = signal(SignalKind::interrupt())?;
+    let mut ended = signal(SignalKind::terminate())?;
+    let mut running = around.cluster.start(&load)?;
+    let nodes = around.cluster.api_addresses();
+    println!("{} controllers take jobs; the first at http://{}", nodes.len(), nodes[0]);
+    println!("\nA job of two tasks, and how it stands (machines need some seconds to come up):\n");
+    println!("  curl -s http://{}/work -d '{}'", nodes[0], users_job());
+    println!("  curl -s http://{}/work/job-1\n\nCtrl-C ends all.", nodes[0]);
+    tokio::select! {
+        _ = interrupted.recv() => {}
+        _ = ended.recv() => {}
+    }
+    running.stop();
+    Ok(ExitCode::SUCCESS)
+}
+
+fn users_job() -> serde_json::Value {
+    plankhead_standins::users::job("job-1", "urgent", 2, 2.0, "img-00", 5.0)
+}
--- a/crates/plankhead-standins/src/finals.rs
+++ b/crates/plankhead-standins/src/finals.rs
@@ -1,7 +1,9 @@
 //! Whether every job reached exactly one final answer, by what users were told and what
 //! the workers ran. The check calls nothing of the code under test.
 
+use crate::Load;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -70,6 +72,27 @@
     ended: Option<(Status, Instant)>,
 }
 
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let longest = self.longest.as_secs_f64();
+        let Self { accepted, done, cancelled, .. } = self;
+        write!(
+            f,
+            "{accepted} jobs accepted, {done} done, {cancelled} cancelled, the longest took {longest:.1} s"
+        )
+    }
+}
+
+/// Checks a run in which a certain number of jobs was to be submitted.
+pub fn check_all(history: &History, load: &Load) -> Verdict {
+    let mut verdict = check(&history.all(), Duration::from_secs_f64(load.cancel_s));
+    let missing = (load.jobs as usize).saturating_sub(verdict.accepted);
+    if missing > 0 {
+        verdict.faults.push(format!("{missing} jobs were never accepted"));
+    }
+    verdict
+}
+
 /// Reads the history from its beginning. `cancel`: how long a task may go on after its
 /// job's cancellation was told.
 pub fn check(history: &[(Instant, Happened)], cancel: Duration) -> Verdict {
--- a/crates/plankhead-standins/src/lib.rs
+++ b/crates/plankhead-standins/src/lib.rs
@@ -2,28 +2,31 @@
 //! service, a cloud, workers and users. They follow the published protocol as far as
 //! their users need, keep what they did, and fail only on purpose.
 //!
-//! Three programs use them: `load` generates load for one cluster, `freeze` pauses and
-//! resumes its processes and checks what the cloud did for whom ([`stale`]), and `cuts`
+//! Five programs use them: `cluster` runs a small cluster to try, `load` generates load for one cluster, `freeze` pauses and
+//! resumes its processes and checks what the cloud did for whom ([`stale`]), `cuts`
 //! cuts single links through proxies ([`proxy`]) and checks that every job reached exactly
-//! one final answer ([`finals`]).
+//! one final answer ([`finals`]), and `moves` does so with kills and pauses while shards of
+//! machines move.
 
 pub mod cloud;
 pub mod counts;
 pub mod cuts;
 pub mod finals;
 pub mod freeze;
+pub mod moves;
 pub mod nodes;
 pub mod proxy;
 pub mod stale;
 pub mod state;
+pub mod surroundings;
 pub mod users;
 pub mod workers;
 
-use clap::Args;
+use clap::Parser;
 use std::path::PathBuf;
 
 /// What is generated.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone, Parser)]
 pub struct Load {
     /// The program under load.
     #[arg(long, default_value = "target/release/plankhead")]
--- /dev/null
+++ b/crates/plankhead-standins/src/moves.rs
@@ -0,0 +1,97 @@
+//! Kills and pauses real controller processes while shards of machines move between them,
+//! and checks that every job reached exactly one final answer and no task ran twice.
+
+use crate::finals::{self, Verdict};
+use crate::nodes::{Cluster, Running};
+use crate::surroundings::Surroundings;
+use crate::Load;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::{Duration, Instant};
+
+/// Until the first trouble: the cluster elects a leader and rents its first machines.
+const WARM_UP: Duration = Duration::from_secs(5);
+/// How often it is looked whether all jobs are over.
+const LOOK: Duration = Duration::from_millis(500);
+/// What nodes log when a shard changes hands.
+const MOVED: &str = " goes from plank-";
+
+/// Which troubles come while shards move.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Moves {
+    /// Troubles, one after the other: a kill, a pause, or some quiet.
+    #[arg(long, default_value_t = 50)]
+    pub troubles: u32,
+    /// The seed of what befalls whom, and for how long.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Seconds that a process is paused or away at the most.
+    #[arg(long, default_value_t = 5.0)]
+    pub longest_s: f64,
+    /// Seconds after the last trouble until every job must be over.
+    #[arg(long, default_value_t = 120.0)]
+    pub patience_s: f64,
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Outcome {
+    pub verdict: Verdict,
+    pub kills: u32,
+    pub pauses: u32,
+    /// Shards that changed hands, as the nodes logged.
+    pub moves: usize,
+}
+
+/// Runs a cluster under load with troubles, and checks what came of the jobs.
+pub async fn run(load: &Load, moves: &Moves) -> std::io::Result<Outcome> {
+    let around = Surroundings::start(load).await?;
+    let mut running = around.cluster.start(load)?;
+    around.start_users(load);
+    tokio::time::sleep(WARM_UP).await;
+    let mut random = StdRng::seed_from_u64(moves.seed);
+    let (mut kills, mut pauses) = (0, 0);
+    for _ in 0..moves.troubles {
+        let node = random.random_range(0..load.nodes);
+        let length = Duration::from_secs_f64(random.random_range(0.2..=moves.longest_s.max(0.3)));
+        match random.random_range(0..3) {
+            0 => {
+                kills += 1;
+                kill_for(&around.cluster, &mut running, load, node, length).await?;
+            }
+            1 => {
+                pauses += 1;
+                running.pause(node);
+                tokio::time::sleep(length).await;
+                running.resume(node);
+            }
+            _ => tokio::time::sleep(length).await,
+        }
+        tokio::time::sleep(Duration::from_millis(random.random_range(100..2_500))).await;
+    }
+    let end = Instant::now() + Duration::from_secs_f64(moves.patience_s);
+    while around.counts.jobs_over() < load.jobs && Instant::now() < end {
+        tokio::time::sleep(LOOK).await;
+    }
+    let ended = running.ended();
+    if !ended.is_empty() {
+        return Err(std::io::Error::other(format!("the processes of nodes {ended:?} ended")));
+    }
+    running.stop();
+    let verdict = finals::check_all(&around.history, load);
+    Ok(Outcome { verdict, kills, pauses, moves: around.cluster.count_logged(MOVED) })
+}
+
+/// Ends a process without warning, and starts it again after some time.
+async fn kill_for(
+    cluster: &Cluster,
+    running: &mut Running,
+    load: &Load,
+    node: usize,
+    away: Duration,
+) -> std::io::Result<()> {
+    running.kill(node);
+    tokio::time::sleep(away).await;
+    running.replace(node, cluster.start_node(load, node)?);
+    Ok(())
+}
--- a/crates/plankhead-standins/src/nodes.rs
+++ b/crates/plankhead-standins/src/nodes.rs
@@ -116,20 +116,26 @@
         })
     }
 
+    /// Starts one node's process; its log goes on where one of before ended.
+    pub fn start_node(&self, args: &Load, node: usize) -> std::io::Result<Child> {
+        let path = self.folder.join(format!("node-{node}.json"));
+        std::fs::write(&path, self.settings(args, node).to_string())?;
+        let mut words: Vec<&str> =
+            if node == 0 { args.wrap.split_whitespace().collect() } else { Vec::new() };
+        let binary = args.binary.to_string_lossy();
+        words.push(&binary);
+        let log = self.folder.join(format!("node-{node}.log"));
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let mut command = Command::new(words[0]);
+        command.args(&words[1..]).args(args.node_arguments.split_whitespace());
+        command.arg("--config").arg(&path).stdin(Stdio::null()).stderr(log);
+        command.spawn()
+    }
+
     pub fn start(&self, args: &Load) -> std::io::Result<Running> {
         let mut children = Vec::new();
         for node in 0..args.nodes {
-            let path = self.folder.join(format!("node-{node}.json"));
-            std::fs::write(&path, self.settings(args, node).to_string())?;
-            let mut words: Vec<&str> =
-                if node == 0 { args.wrap.split_whitespace().collect() } else { Vec::new() };
-            let binary = args.binary.to_string_lossy();
-            words.push(&binary);
-            let log = std::fs::File::create(self.folder.join(format!("node-{node}.log")))?;
-            let mut command = Command::new(words[0]);
-            command.args(&words[1..]).args(args.node_arguments.split_whitespace());
-            command.arg("--config").arg(&path).stdin(Stdio::null()).stderr(log);
-            children.push(command.spawn()?);
+            children.push(self.start_node(args, node)?);
             if node == 0 {
                 // The first node is the one that is profiled: it shall lead.
                 std::thread::sleep(std::time::Duration::from_millis(if args.wrap.is_empty() {
@@ -183,6 +189,22 @@
         self.signal(node, Signal::SIGCONT);
     }
 
+    /// Ends a process without warning.
+    pub fn kill(&mut self, node: usize) {
+        if let Some(child) = self.0.get_mut(node) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Takes charge of a node's new process in the place of one that has ended.
+    pub fn replace(&mut self, node: usize, child: Child) {
+        self.kill(node);
+        if let Some(place) = self.0.get_mut(node) {
+            *place = child;
+        }
+    }
+
     fn signal(&self, node: usize, signal: Signal) {
         let process = self.0.get(node).and_then(|child| i32::try_from(child.id()).ok());
         if let Some(process) = process {
--- /dev/null
+++ b/crates/plankhead/tests/moves.rs
@@ -0,0 +1,56 @@
+//! Real controller processes between which shards of machines move every second and a half,
+//! while some are killed and paused: every job reaches exactly one final answer, and no task
+//! runs twice.
+//!
+//! Longer runs are a program of their own: see the README.
+
+#![allow(clippy::unwrap_used)]
+
+use clap::Parser;
+use plankhead_standins::moves::{self, Moves};
+use plankhead_standins::Load;
+
+#[derive(Debug, Parser)]
+struct Args {
+    #[command(flatten)]
+    load: Load,
+    #[command(flatten)]
+    moves: Moves,
+}
+
+#[tokio::test]
+async fn every_job_reaches_one_final_answer_while_shards_move() {
+    let file = std::env::temp_dir().join(format!("plankhead-rotate-{}.json", std::process::id()));
+    let sharding = r#"{"enabled": true, "shards_per_zone": 4, "rotate_ms": 1500}"#;
+    std::fs::write(&file, sharding).unwrap();
+    let fencing = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/fencing.json");
+    let arguments = format!("--fencing {fencing} --sharding {}", file.display());
+    let args = Args::parse_from([
+        "moves",
+        "--binary",
+        env!("CARGO_BIN_EXE_plankhead"),
+        "--node-arguments",
+        &arguments,
+        "--nodes=3",
+        "--machines=12",
+        "--jobs=60",
+        "--initial=6",
+        "--jobs-per-s=3",
+        "--run-s=2",
+        "--tasks=3",
+        "--cancelled=0.2",
+        "--boot-s=0.5",
+        "--report-s=0.5",
+        "--lease-s=6",
+        "--cancel-s=18",
+        "--troubles=6",
+        "--seed=2",
+        "--longest-s=3",
+    ]);
+    let outcome = moves::run(&args.load, &args.moves).await.unwrap();
+    std::fs::remove_file(&file).unwrap();
+    assert_eq!(outcome.verdict.faults, Vec::<String>::new(), "{outcome:?}");
+    assert_eq!(outcome.verdict.accepted, 60, "{outcome:?}");
+    assert!(outcome.moves >= 4, "{outcome:?}");
+    assert!(outcome.kills > 0 && outcome.pauses > 0, "{outcome:?}");
+}
