--- a/review/standin.py
+++ b/review/standin.py
@@ -20,7 +20,8 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 T0 = time.monotonic()
-# The protocol's limit for a request body.
+# The protocol's path for jobs, and its limit for a request body.
+JOBS = "/work"
 MAX_BODY = 64 * 1024
 
 
@@ -655,7 +656,7 @@
         self.processes[node] = subprocess.Popen(self.run + [path], cwd=ROOT, stdin=subprocess.DEVNULL,
                                                 stdout=log, stderr=log, env=environment)
         log.close()
-        self.event("node_started", node=self.hosts[node], command=" ".join(self.run) + " SETTINGS")
+        self.event("node_started", node=self.hosts[node], pid=self.processes[node].pid, command=" ".join(self.run) + " SETTINGS")
 
     def signal(self, node, number):
         self.event("signal", node=self.hosts[node], number=int(number))
@@ -708,7 +709,7 @@
         node = random.randrange(3) if first is None else first
         for _ in range(tries):
             connection = Connection(self.api[node % 3])
-            status, body = await connection.call("POST", "/work", job, 5.0)
+            status, body = await connection.call("POST", JOBS, job, 5.0)
             connection.close()
             if status in (200, 201, 400, 422):
                 self.event("submitted", job=job["nameId"], status=status, body=body)
@@ -721,7 +722,7 @@
     async def ask(self, name, node=None, timeout=2.0):
         node = random.randrange(3) if node is None else node
         connection = Connection(self.api[node])
-        status, body = await connection.call("GET", "/work/%s" % name, timeout=timeout)
+        status, body = await connection.call("GET", "%s/%s" % (JOBS, name), timeout=timeout)
         connection.close()
         self.event("asked", job=name, node=self.hosts[node], status=status, body=body)
         return status, body
@@ -730,7 +731,7 @@
         node = random.randrange(3) if node is None else node
         for _ in range(tries):
             connection = Connection(self.api[node % 3])
-            status, body = await connection.call("POST", "/work/%s/abort" % name, timeout=5.0)
+            status, body = await connection.call("POST", "%s/%s/abort" % (JOBS, name), timeout=5.0)
             connection.close()
             if status == 200:
                 self.event("cancel_answered", job=name, body=body)
@@ -779,7 +780,7 @@
 
 def main(case):
     """Runs a case: an async function of (trouble) that returns whether the rule held."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = sys.argv[1:] != ["0"]
 
     async def run():
         task = asyncio.current_task()
