Model tests: a late return of one idle machine without fencing isn't a lost fleet

a_leader_without_network_returns_no_machines bounds the tasks killed by returns below 8. That is what fencing was built against; the test played without it, and a machine holds 8 tasks. Without it, one such machine is let pass; a fleet is more than one.

--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -75,6 +75,8 @@
     pub faults_over_at: Duration,
     /// The number of tasks that ran on machines when these were released.
     pub killed_by_release: usize,
+    /// The number of machines that ran tasks when they were released.
+    pub busy_machines_released: u32,
     watches: Vec<Watch>,
     pub workers: BTreeMap<MachineName, Worker>,
     /// The machines of each rental, by its name.
@@ -193,6 +195,7 @@
             relayed: 0,
             faults_over_at: SIM_START,
             killed_by_release: 0,
+            busy_machines_released: 0,
             watches: Vec::new(),
             workers: BTreeMap::new(),
             rentals: HashMap::new(),
