Jobs: keys of chunks are parsed in one place, and attempts read from stored chunks

For nodes that do not lead and want to know where the tasks of a cancelled job are. The leader's loading uses the same parser. No change of decisions.

--- a/crates/plankhead-core/src/jobs/chunk.rs
+++ b/crates/plankhead-core/src/jobs/chunk.rs
@@ -2,6 +2,8 @@
 //! service.
 
 use crate::jobs::attempt::{Attempt, Task, TaskState};
+use crate::jobs::job::{JobId, CHUNK_PREFIX};
+use crate::protocol::{KeyValue, MachineName};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -20,6 +22,31 @@
     (value_bytes / MAX_TASK_BYTES).clamp(MIN_TASKS_PER_CHUNK, MAX_TASKS_PER_CHUNK) as u32
 }
 
+/// The key of a stored chunk, see [`JobId::chunk_key`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChunkKey {
+    /// The job.
+    pub job: JobId,
+    /// Whether it is one of the smaller chunks that replace the job's original chunks after the maximum
+    /// size of values was reduced.
+    pub rechunked: bool,
+    /// The chunk's number in the job.
+    pub number: u32,
+}
+
+impl ChunkKey {
+    /// Parses a key.
+    pub fn parse(key: &str) -> Option<Self> {
+        let (job, number) = key.strip_prefix(CHUNK_PREFIX)?.split_once('/')?;
+        let rechunked_number = number.strip_prefix('s');
+        Some(Self {
+            job: JobId::parse(job).ok()?,
+            rechunked: rechunked_number.is_some(),
+            number: rechunked_number.unwrap_or(number).parse().ok()?,
+        })
+    }
+}
+
 /// A range of a job's tasks, stored under one key. Every change increments the chunk's version, and a
 /// stored value contains all changes up to its version.
 #[derive(Debug, Clone, Default)]
@@ -63,6 +90,17 @@
     Range,
 }
 
+/// An attempt whose end is not stored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredAttempt {
+    /// The attempt's number.
+    pub number: u64,
+    /// The machine that the task was placed on.
+    pub machine: MachineName,
+    /// The worker's incarnation for which the task was placed; the attempt can't run in another one.
+    pub incarnation: u64,
+}
+
 /// The value of a `run/<id>/<n>` key.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(super) struct StoredChunk {
@@ -110,6 +148,24 @@
         Ok(chunk)
     }
 
+    /// Applies the chunk to the attempts that were read from the job's other chunks so far. A smaller
+    /// chunk replaces what the original ones say of its tasks, so it must be applied after them.
+    pub(super) fn apply_to(&self, attempts: &mut BTreeMap<u32, StoredAttempt>) -> Result<(), ChunkError> {
+        for (first, last) in &self.done {
+            attempts.retain(|index, _| index < first || index > last);
+        }
+        for (index, number, machine_index) in &self.tasks {
+            let Ok(machine_index) = usize::try_from(*machine_index) else {
+                attempts.remove(index);
+                continue;
+            };
+            let (machine, incarnation, _) = self.machines.get(machine_index).ok_or(ChunkError::Range)?;
+            let (machine, incarnation) = (machine.as_str().into(), *incarnation);
+            attempts.insert(*index, StoredAttempt { number: *number, machine, incarnation });
+        }
+        Ok(())
+    }
+
     /// Returns the state of a stored task. If it has an attempt, an earlier leader placed it.
     fn task_state(&self, attempt: u64, machine_index: i32, now: Duration) -> Result<TaskState, ChunkError> {
         let Ok(machine_index) = usize::try_from(machine_index) else { return Ok(TaskState::Pending) };
@@ -119,6 +175,21 @@
     }
 }
 
+/// Returns the attempts of a job by task index, from the rows of all its chunks.
+///
+/// # Errors
+///
+/// Returns [`ChunkError`] if a value can't be decoded.
+pub fn stored_attempts(rows: &[KeyValue]) -> Result<BTreeMap<u32, StoredAttempt>, ChunkError> {
+    let is_rechunked = |row: &&KeyValue| ChunkKey::parse(&row.key).is_some_and(|key| key.rechunked);
+    let (rechunked, original): (Vec<_>, Vec<_>) = rows.iter().partition(is_rechunked);
+    let mut attempts = BTreeMap::new();
+    for row in original.into_iter().chain(rechunked) {
+        StoredChunk::parse(&row.value)?.apply_to(&mut attempts)?;
+    }
+    Ok(attempts)
+}
+
 impl Chunk {
     /// Encodes the chunk at its current version.
     pub(super) fn encode(&self) -> Option<EncodedChunk> {
--- a/crates/plankhead-core/src/jobs/job.rs
+++ b/crates/plankhead-core/src/jobs/job.rs
@@ -5,6 +5,9 @@
 use std::sync::Arc;
 use thiserror::Error;
 
+/// The prefix of the keys of all chunks.
+pub const CHUNK_PREFIX: &str = "run/";
+
 /// The maximum number of tasks in a job.
 pub const MAX_TASKS: u32 = 100_000;
 /// The maximum length of a text field of a job, in bytes.
@@ -58,11 +61,16 @@
         format!("over/{}", self.0)
     }
 
+    /// Returns the prefix of the keys of the job's chunks.
+    pub fn chunk_prefix(&self) -> String {
+        format!("{CHUNK_PREFIX}{}/", self.0)
+    }
+
     /// Returns the key of a chunk of the job's placements. `rechunked` says whether the job's chunks were
     /// replaced by smaller ones because the maximum size of values was reduced.
     pub fn chunk_key(&self, chunk: u32, rechunked: bool) -> String {
         let prefix = if rechunked { "s" } else { "" };
-        format!("run/{}/{prefix}{chunk}", self.0)
+        format!("{}{prefix}{chunk}", self.chunk_prefix())
     }
 }
 
--- a/crates/plankhead-core/src/leader/loading.rs
+++ b/crates/plankhead-core/src/leader/loading.rs
@@ -4,7 +4,8 @@
 use crate::calls::{FinishedJob, LeaderCall, ObsoleteKey};
 use crate::effects::{EffectSink, StepTime};
 use crate::fleet::HeartbeatChange;
-use crate::jobs::job::{JobId, JobPhase, JobRecord};
+use crate::jobs::chunk::ChunkKey;
+use crate::jobs::job::{JobId, JobPhase, JobRecord, CHUNK_PREFIX};
 use crate::jobs::job_table::{tasks_per_chunk, StoredJob};
 use crate::protocol::{CallError, Heartbeat, JobStatus, KeyValue, KvReply, KvRequest, LogLevel, MachineName};
 use crate::requests::RequestHandler;
@@ -22,11 +23,7 @@
 /// have been read.
 #[derive(Debug)]
 struct StoredChunk {
-    job: JobId,
-    /// Whether it is one of the smaller chunks that replace the job's original chunks after the maximum size
-    /// of values was reduced.
-    rechunked: bool,
-    number: u32,
+    key: ChunkKey,
     value: String,
     mod_revision: u64,
 }
@@ -93,6 +90,11 @@
         self.call_kv(LeaderCall::ListJobs, KvRequest::List { prefix: "job/".into(), after }, effects);
     }
 
+    /// Returns whether the leader has loaded all stored state.
+    pub fn is_ready(&self) -> bool {
+        self.loading.is_ready()
+    }
+
     /// Returns whether the leader is still loading and no call has failed so far.
     pub fn is_loading(&self) -> bool {
         !self.loading.is_ready() && !self.loading.failed
@@ -107,7 +109,7 @@
     /// Requests the next page of the list of chunks.
     fn list_chunks(&mut self, effects: &mut EffectSink) {
         let after = self.loading.after_key();
-        self.call_kv(LeaderCall::ListChunks, KvRequest::List { prefix: "run/".into(), after }, effects);
+        self.call_kv(LeaderCall::ListChunks, KvRequest::List { prefix: CHUNK_PREFIX.into(), after }, effects);
     }
 
     /// Handles a page of the list of jobs.
@@ -145,21 +147,15 @@
         };
         self.loading.page_loaded(&rows);
         for row in rows {
-            let mut parts = row.key.splitn(3, '/').skip(1);
-            let id = parts.next().and_then(|id| JobId::parse(id).ok());
-            let number = parts.next().and_then(|n| match n.strip_prefix('s') {
-                Some(number) => Some((true, number.parse::<u32>().ok()?)),
-                None => Some((false, n.parse::<u32>().ok()?)),
-            });
-            match (id, number) {
-                (Some(id), Some(_)) if !self.job_table.jobs.contains_key(&id) => {
+            match ChunkKey::parse(&row.key) {
+                Some(key) if !self.job_table.jobs.contains_key(&key.job) => {
                     self.garbage.add([ObsoleteKey { key: row.key, revision: Some(row.mod_revision) }]);
                 }
-                (Some(job), Some((rechunked, number))) => {
+                Some(key) => {
                     let (value, mod_revision) = (row.value, row.mod_revision);
-                    self.loading.chunks.push(StoredChunk { job, rechunked, number, value, mod_revision });
+                    self.loading.chunks.push(StoredChunk { key, value, mod_revision });
                 }
-                _ => effects.log(LogLevel::Error, format!("chunk key unreadable: key={}", row.key)),
+                None => effects.log(LogLevel::Error, format!("chunk key unreadable: key={}", row.key)),
             }
         }
         if truncated {
@@ -220,7 +216,8 @@
     fn load_all_chunks(&mut self, now: Duration, effects: &mut EffectSink) {
         let chunks = std::mem::take(&mut self.loading.chunks);
         // Smaller chunks are written only once every node runs a version that can read them.
-        let (rechunked, original): (Vec<_>, Vec<_>) = chunks.into_iter().partition(|chunk| chunk.rechunked);
+        let (rechunked, original): (Vec<_>, Vec<_>) =
+            chunks.into_iter().partition(|chunk| chunk.key.rechunked);
         self.all_nodes_upgraded |= !rechunked.is_empty();
         self.load_chunks(original, now, effects);
         if self.all_nodes_upgraded {
@@ -252,7 +249,7 @@
 
     /// Loads chunks into the job table. A job with an unreadable chunk is removed from it.
     fn load_chunks(&mut self, chunks: Vec<StoredChunk>, now: Duration, effects: &mut EffectSink) {
-        for StoredChunk { job, number, value, mod_revision, .. } in chunks {
+        for StoredChunk { key: ChunkKey { job, number, .. }, value, mod_revision } in chunks {
             if let Err(error) = self.job_table.load_chunk(&job, number, &value, mod_revision, now) {
                 // Nothing may be started for a job whose attempts are unknown.
                 effects.log(LogLevel::Error, format!("placements unreadable: job={job} reason={error}"));
