--- a/crates/plankhead-core/src/calls.rs
+++ b/crates/plankhead-core/src/calls.rs
@@ -30,6 +30,8 @@
     ShardRecords(KeyWatchCall),
     /// A call of a holder of shards.
     Holder(HolderCall),
+    /// A call of the reclaimer, which acts while no node can lead.
+    Reclaim(ReclaimCall),
     /// A read of the list of machine types.
     MachineTypes,
 }
@@ -155,6 +157,23 @@
     ReportStatus { leader: u64, machines: Vec<MachineName> },
 }
 
+/// The purpose of a call of the reclaimer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReclaimCall {
+    /// Reads or watches the job records.
+    WatchJobs(KeyWatchCall),
+    /// Reads a page of a cancelled job's chunks.
+    ListChunks(JobId),
+    /// Reads a key, to find out whether the state service answers. `sent` is when the read was sent.
+    TestStore { sent: Duration },
+    /// Reads a page of the cloud's inventory.
+    ListInstances,
+    /// Returns machines to the cloud.
+    Release { machines: Vec<MachineName> },
+    /// Inspects a worker. `sent` is when the call was sent.
+    Inspect { machine: MachineName, sent: Duration },
+}
+
 /// Commands that were sent directly to a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SentCommands {
--- a/crates/plankhead-core/src/effects.rs
+++ b/crates/plankhead-core/src/effects.rs
@@ -53,6 +53,12 @@
         self.queued.push(Effect::SendCommands { call, address, token, incarnation, commands });
     }
 
+    /// Asks a worker for its heartbeat.
+    pub fn inspect_worker(&mut self, purpose: CallPurpose, address: Arc<str>) {
+        let call = self.call(purpose);
+        self.queued.push(Effect::InspectWorker { call, address });
+    }
+
     /// Sends a message about shards to a peer.
     pub fn send_shard_message(&mut self, purpose: CallPurpose, to: String, message: ShardMessage) {
         let call = self.call(purpose);
--- a/crates/plankhead-core/src/holder/mod.rs
+++ b/crates/plankhead-core/src/holder/mod.rs
@@ -7,21 +7,20 @@
 
 mod commands;
 mod held_shards;
-mod jobs;
 mod leader_messages;
 mod reporting;
 mod view;
 
-use crate::calls::KeyWatchCall;
+use crate::calls::{CallPurpose, HolderCall, KeyWatchCall};
 use crate::effects::{EffectSink, StepTime};
 use crate::fleet::{Fleet, HeartbeatChange, Machine};
+use crate::job_watch::{JobUpdate, JobWatch};
 use crate::leadership::LeaderId;
 use crate::protocol::{CallError, Heartbeat, HeartbeatPath, KvReply, MachineName, Response, WorkerCommand};
 use crate::requests::RequestHandler;
 use crate::settings::Settings;
 use commands::PendingCommands;
 use held_shards::HeldShard;
-use jobs::JobWatch;
 use plankhead_sharding::read_times::ReadTimes;
 use plankhead_sharding::shard::ShardId;
 use reporting::StatusStream;
@@ -209,7 +208,9 @@
     pub fn tick(&mut self, times: StepTime, evidence: HolderEvidence, effects: &mut EffectSink) {
         let now = times.now;
         self.cpu_starved = evidence.cpu_starved;
-        self.jobs.tick(now, effects);
+        if let Some((call, request)) = self.jobs.tick(now) {
+            effects.call_kv(CallPurpose::Holder(HolderCall::WatchJobs(call)), request);
+        }
         if now >= self.next_machine_scan_at {
             self.next_machine_scan_at = now + MACHINE_SCAN_INTERVAL;
             self.remove_silent_machines(now);
@@ -235,7 +236,7 @@
     }
 
     /// Handles a reply of the job watch: drops pending starts of jobs that have ended, and sends kills
-    /// for the tasks of cancelled jobs.
+    /// for the tasks of cancelled jobs. Returns the changes.
     pub fn handle_kv_reply(
         &mut self,
         now: Duration,
@@ -244,7 +245,7 @@
         requests: &mut RequestHandler,
         evidence: HolderEvidence,
         effects: &mut EffectSink,
-    ) {
+    ) -> JobUpdate {
         let update = self.jobs.handle_reply(now, call, reply, requests);
         if !update.ended.is_empty() {
             let starts_ended_job = |command: &WorkerCommand| {
@@ -255,9 +256,10 @@
                 commands.pending.retain(|command| !starts_ended_job(command));
             }
         }
-        if update.cancelled {
+        if !update.cancelled.is_empty() {
             self.kill_cancelled(now, evidence, effects);
         }
+        update
     }
 
     /// Returns the machines known to this node, for the leader role when the node becomes the leader.
--- a/crates/plankhead-core/src/holder/jobs.rs
+++ b/crates/plankhead-core/src/job_watch.rs
@@ -1,10 +1,10 @@
-//! A holder's own watch of the job records, from which it learns of cancelled and ended jobs.
+//! The watch of the job records by a node that does not lead, from which it learns of cancelled and ended
+//! jobs.
 
-use crate::calls::{CallPurpose, HolderCall, KeyWatchCall};
-use crate::effects::EffectSink;
+use crate::calls::KeyWatchCall;
 use crate::jobs::job::{JobId, JobPhase, JobRecord};
 use crate::key_watch::{KeyUpdate, KeyWatch};
-use crate::protocol::{CallError, JobStatus, KeyValue, KvReply, WatchEvent};
+use crate::protocol::{CallError, JobStatus, KeyValue, KvReply, KvRequest, WatchEvent};
 use crate::requests::RequestHandler;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -20,20 +20,44 @@
 pub struct JobWatch {
     watch: KeyWatch,
     cancelled: BTreeSet<JobId>,
+    /// The cancelled jobs on the pages of the list that is being read.
+    listed: BTreeSet<JobId>,
+}
+
+/// A job that a user has cancelled.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CancelledJob {
+    pub id: JobId,
+    /// The wall-clock time of the cancellation, in milliseconds since the Unix epoch, if it is stored.
+    pub cancelled_ms: Option<u64>,
+}
+
+impl CancelledJob {
+    /// Returns the job of a stored record, if the record says that the job is cancelled.
+    pub fn of_row(row: &KeyValue) -> Option<Self> {
+        let id = job_id_of_key(&row.key)?;
+        let record: JobRecord = serde_json::from_str(&row.value).ok()?;
+        (record.phase == JobPhase::Cancelled).then_some(Self { id, cancelled_ms: record.cancelled_ms })
+    }
 }
 
 /// The changes that a reply contained.
 #[derive(Debug, Default)]
 pub struct JobUpdate {
-    /// Whether any job was newly cancelled.
-    pub cancelled: bool,
-    /// Jobs that have ended: pending commands to start their tasks must be dropped.
+    /// The jobs that were newly cancelled.
+    pub cancelled: Vec<CancelledJob>,
+    /// Jobs that have ended and of which no task is left: pending commands to start their tasks must be
+    /// dropped.
     pub ended: BTreeSet<JobId>,
 }
 
 impl Default for JobWatch {
     fn default() -> Self {
-        Self { watch: KeyWatch::new(PREFIX, WATCH_TIMEOUT), cancelled: BTreeSet::new() }
+        Self {
+            watch: KeyWatch::new(PREFIX, WATCH_TIMEOUT),
+            cancelled: BTreeSet::new(),
+            listed: BTreeSet::new(),
+        }
     }
 }
 
@@ -58,11 +82,9 @@
         self.watch.next_due()
     }
 
-    /// Makes the next call, if one is due.
-    pub fn tick(&mut self, now: Duration, effects: &mut EffectSink) {
-        if let Some((call, request)) = self.watch.tick(now) {
-            effects.call_kv(CallPurpose::Holder(HolderCall::WatchJobs(call)), request);
-        }
+    /// Returns the next call, if one is due.
+    pub fn tick(&mut self, now: Duration) -> Option<(KeyWatchCall, KvRequest)> {
+        self.watch.tick(now)
     }
 
     /// Handles a reply and returns the changes that it contained.
@@ -75,17 +97,32 @@
     ) -> JobUpdate {
         let mut update = JobUpdate::default();
         match self.watch.handle_reply(now, call, reply) {
-            KeyUpdate::Page { rows, .. } => {
-                rows.iter().for_each(|row| self.apply_record(row, requests, &mut update))
+            KeyUpdate::Page { rows, complete } => {
+                self.listed.extend(rows.iter().filter_map(CancelledJob::of_row).map(|job| job.id));
+                rows.iter().for_each(|row| self.apply_record(row, requests, &mut update));
+                if complete {
+                    self.drop_unlisted(&mut update);
+                }
             }
             KeyUpdate::Events(events) => {
                 events.into_iter().for_each(|event| self.apply_event(event, requests, &mut update));
             }
-            KeyUpdate::Failed => {}
+            KeyUpdate::Failed => self.listed.clear(),
         }
         update
     }
 
+    /// Drops the cancelled jobs that a complete list lacks: they were archived while this node did not
+    /// watch.
+    fn drop_unlisted(&mut self, update: &mut JobUpdate) {
+        let listed = std::mem::take(&mut self.listed);
+        let archived: Vec<JobId> = self.cancelled.difference(&listed).cloned().collect();
+        for id in archived {
+            self.cancelled.remove(&id);
+            update.ended.insert(id);
+        }
+    }
+
     fn apply_event(&mut self, event: WatchEvent, requests: &mut RequestHandler, update: &mut JobUpdate) {
         match event {
             WatchEvent::Put(row) => self.apply_record(&row, requests, update),
@@ -110,7 +147,13 @@
             }
             JobPhase::Cancelled => {
                 requests.record_ended(&id, JobStatus::Cancelled, 0);
-                update.cancelled |= self.cancelled.insert(id);
+                // The leader drops the specification once none of the tasks is left.
+                if record.spec.is_none() {
+                    update.ended.insert(id.clone());
+                }
+                if self.cancelled.insert(id.clone()) {
+                    update.cancelled.push(CancelledJob { id, cancelled_ms: record.cancelled_ms });
+                }
             }
         }
     }
--- a/crates/plankhead-core/src/jobs/job_entry.rs
+++ b/crates/plankhead-core/src/jobs/job_entry.rs
@@ -195,7 +195,7 @@
     }
 
     /// Returns the attempts not proven over, with the indices of their tasks.
-    pub(super) fn attempts(&self) -> impl Iterator<Item = (u32, &Attempt)> {
+    pub fn attempts(&self) -> impl Iterator<Item = (u32, &Attempt)> {
         self.chunks.values().flat_map(|chunk| &chunk.tasks).filter_map(|(index, task)| match &task.state {
             TaskState::Placed(attempt) => Some((*index, attempt)),
             _ => None,
--- a/crates/plankhead-core/src/leader/machine_checks.rs
+++ b/crates/plankhead-core/src/leader/machine_checks.rs
@@ -5,15 +5,16 @@
 use crate::calls::{CallPurpose, LeaderCall};
 use crate::effects::EffectSink;
 use crate::fleet::{Machine, RemovalReason};
-use crate::protocol::MachineName;
+use crate::jobs::job::JobPhase;
+use crate::protocol::{MachineName, TaskId};
+use crate::reclaim::deadlines::{cancellation_timeout, reclaim_delay};
+use crate::reclaim::tasks::CancelledAttempt;
 use plankhead_reachability::mode::Mode;
 use plankhead_reachability::permission::Action;
 use std::time::Duration;
 
 /// The longest time that the cloud usually takes for a release.
 const RELEASE_DURATION: Duration = Duration::from_secs(3);
-/// How long before a job's cancellation deadline the machines that may still run its tasks are reclaimed.
-const RECLAIM_LEAD_TIME: Duration = Duration::from_secs(7);
 
 impl Leader {
     /// Returns whether at least one worker has been heard from recently, or no machine is up. Machines that
@@ -49,23 +50,27 @@
     /// assumes that its own links are at fault and removes none.
     pub(super) fn remove_silent_beyond_lease(&mut self, now: Duration, evidence: LeaderEvidence) {
         let is_loading = !self.loading.is_ready();
-        let due = is_loading || now.saturating_sub(self.job_watch.synced_at()) >= self.reclaim_delay();
+        let due =
+            is_loading || now.saturating_sub(self.job_watch.synced_at()) >= reclaim_delay(&self.settings);
         if due && evidence.no_peer_leads && self.is_cloud_reachable(now) {
             let silence = self.settings.worker_lease + Duration::from_secs(1);
             self.fleet.mark_silent_beyond_lease(now, silence, is_loading);
         }
     }
 
-    /// Returns the time after a cancellation at which a machine that may still run a task of the job
-    /// is reclaimed.
-    fn reclaim_delay(&self) -> Duration {
-        self.cancellation_deadline().saturating_sub(RECLAIM_LEAD_TIME)
-    }
-
-    /// Returns the time within which a cancellation must be complete, reduced by the clock error so
-    /// that it holds whichever node's clock recorded the cancellation.
-    fn cancellation_deadline(&self) -> Duration {
-        self.settings.cancel_within.saturating_sub(self.settings.clock_error * 2)
+    /// Returns the attempts of cancelled jobs that are not proven over, with their machines.
+    pub fn cancelled_attempts(&self) -> impl Iterator<Item = (MachineName, CancelledAttempt)> + '_ {
+        let cancelled = self.job_table.jobs.iter().filter(|(_, entry)| entry.phase == JobPhase::Cancelled);
+        cancelled.filter_map(|(id, entry)| Some((id, entry, entry.cancelled_at?))).flat_map(
+            |(id, entry, cancelled_at)| {
+                entry.attempts().map(move |(index, attempt)| {
+                    let task = TaskId { job: id.clone(), index };
+                    let (number, incarnation) = (attempt.number, attempt.incarnation);
+                    let cancelled = CancelledAttempt { task, number, incarnation, cancelled_at };
+                    (attempt.machine.clone(), cancelled)
+                })
+            },
+        )
     }
 
     /// Marks machines for removal that have fallen silent or may run cancelled tasks for too long.
@@ -121,7 +126,7 @@
     /// shows that the job's tasks on them have ended. They are reclaimed even in an outage or when all
     /// machines hang.
     fn machines_with_overdue_tasks(&self, now: Duration) -> Vec<MachineName> {
-        let (deadline, reclaim_delay) = (self.cancellation_deadline(), self.reclaim_delay());
+        let (deadline, reclaim_delay) = (cancellation_timeout(&self.settings), reclaim_delay(&self.settings));
         let workers_had_time =
             now.saturating_sub(self.started_at) > self.settings.failover_heartbeat_timeout();
         self.job_table
--- a/crates/plankhead-core/src/lib.rs
+++ b/crates/plankhead-core/src/lib.rs
@@ -8,11 +8,12 @@
 //!
 //! - [`protocol`], [`calls`], [`effects`], [`settings`]: the messages to and from other processes,
 //!   the purposes of calls, the effects of a step, and the settings of the deployment;
-//! - [`key_watch`], [`token_bucket`]: helpers to watch stored keys and to limit rates;
+//! - [`key_watch`], [`job_watch`], [`token_bucket`]: helpers to watch stored keys and to limit rates;
 //! - [`jobs`], [`fleet`], [`shards`]: the state of jobs, machines and shards;
 //! - [`placement`], [`sizing`]: which task starts on which machine, and how many machines to rent;
 //! - [`leadership`], [`reachability`], [`requests`]: the leader election, the state of a node's
 //!   links, and the requests of users;
+//! - [`reclaim`]: the return of machines with tasks of cancelled jobs while no node can lead;
 //! - [`leader`], [`holder`]: the two roles in which a node responds to workers;
 //! - [`node`]: a node, composed of all these modules.
 
@@ -20,6 +21,7 @@
 pub mod effects;
 pub mod fleet;
 pub mod holder;
+pub mod job_watch;
 pub mod jobs;
 pub mod key_watch;
 pub mod leader;
@@ -28,6 +30,7 @@
 pub mod placement;
 pub mod protocol;
 pub mod reachability;
+pub mod reclaim;
 pub mod requests;
 pub mod settings;
 pub mod shards;
--- a/crates/plankhead-core/src/node/heartbeats.rs
+++ b/crates/plankhead-core/src/node/heartbeats.rs
@@ -110,6 +110,7 @@
             self.token_guard.observe(heartbeat.token);
         }
         self.record_link_evidence(&heartbeat, relayed, now);
+        self.reclaimer.observe_heartbeat(&heartbeat);
         let node_is_disconnected = !self.election.is_lease_valid(now) && !self.peers.any_alive(now);
         if let Some(leader) = &mut self.leader {
             match leader.route(&heartbeat) {
--- a/crates/plankhead-core/src/node/leadership.rs
+++ b/crates/plankhead-core/src/node/leadership.rs
@@ -34,7 +34,9 @@
 
     fn stop_leading(&mut self) {
         self.effects.log(LogLevel::Info, "leadership lost".into());
-        self.leader = None;
+        if let Some(leader) = self.leader.take().filter(Leader::is_ready) {
+            self.keep_cancelled_tasks(&leader);
+        }
         self.resume_holder_role();
         if let Some(reachability) = &mut self.reachability {
             reachability.leadership_lost();
--- a/crates/plankhead-core/src/node/mod.rs
+++ b/crates/plankhead-core/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod machine_types;
 mod peers;
 mod reachability;
+mod reclaim;
 mod replies;
 mod shards;
 mod view;
@@ -20,6 +21,7 @@
 use crate::leadership::version_barrier::VersionBarrier;
 use crate::protocol::{Effect, Event, JobProgress, PeerHeartbeat, Response};
 use crate::reachability::Reachability;
+use crate::reclaim::Reclaimer;
 use crate::requests::{RequestHandler, Submission, SubmissionContext};
 use crate::settings::Settings;
 use crate::sizing::cpu_budget::CpuBudget;
@@ -73,6 +75,8 @@
     next_reachability_check_at: Duration,
     /// The state for sharding, if it is enabled.
     sharding: Option<Box<Sharding>>,
+    /// Returns machines with tasks of cancelled jobs while no node can lead.
+    reclaimer: Reclaimer,
     /// Monitors which links work, if reachability is enabled. Created at the first step, because it
     /// needs the current time, which [`Node::new`] is not given.
     reachability: Option<Reachability>,
@@ -92,6 +96,7 @@
             ),
             version_barrier: VersionBarrier::new(&settings),
             peers: Peers::new(settings.clone()),
+            reclaimer: Reclaimer::new(settings.clone()),
             settings,
             effects: EffectSink::default(),
             leader: None,
@@ -160,6 +165,7 @@
             self.leader.as_ref().map(|leader| leader.next_due(now, retry)),
             self.reachability.as_ref().map(|reachability| reachability.next_due(now)),
             self.next_sharding_due(),
+            self.next_reclaim_due(),
         ];
         let next = due_times.into_iter().flatten().fold(self.peers.next_due(), Duration::min);
         next.max(now + MIN_WAKE_INTERVAL)
@@ -215,6 +221,7 @@
         self.tick_sharding(times);
         let evidence = self.leader_evidence(now);
         self.tick_leader(times, evidence);
+        self.tick_reclaimer(times);
         if !self.deferred_heartbeats.is_empty() {
             self.answer_deferred(times);
         }
--- a/crates/plankhead-core/src/node/peers.rs
+++ b/crates/plankhead-core/src/node/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::protocol::PeerHeartbeat;
 use crate::settings::Settings;
+use plankhead_fencing::leaderless::PeerClaims;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -71,6 +72,17 @@
         })
     }
 
+    /// Returns what the heartbeats show about who leads, for a node that the state service may fail.
+    pub fn claims(&self, now: Duration) -> PeerClaims {
+        if self.any_reaches_kv(now) {
+            PeerClaims::StoreReachable
+        } else if self.none_leads(now) {
+            PeerClaims::NoneLeads
+        } else {
+            PeerClaims::Unclear
+        }
+    }
+
     /// Whether the peer's latest heartbeat already claimed to lead under this token.
     pub fn claims_to_lead(&self, host: &str, token: u64) -> bool {
         self.heartbeats.get(host).is_some_and(|received| received.heartbeat.token == token)
--- a/crates/plankhead-core/src/node/replies.rs
+++ b/crates/plankhead-core/src/node/replies.rs
@@ -45,7 +45,8 @@
             }
             Some(CallPurpose::UserRequest(request)) => self.handle_user_request_reply(times, request, reply),
             Some(CallPurpose::ShardRecords(call)) => self.handle_shard_records_reply(now, call, reply),
-            Some(CallPurpose::Holder(call)) => self.handle_holder_kv_reply(now, call, reply),
+            Some(CallPurpose::Holder(call)) => self.handle_holder_kv_reply(times, call, reply),
+            Some(CallPurpose::Reclaim(call)) => self.handle_reclaim_kv_reply(times, call, reply),
             Some(CallPurpose::Leader(token, call)) => self.handle_leader_kv_reply(times, token, call, reply),
             Some(CallPurpose::MachineTypes) | None => {}
         }
@@ -97,6 +98,7 @@
         let leader = self.leader.as_ref();
         let progress = |id: &JobId| leader?.progress(id);
         let changed_rows = self.requests.handle_reply(times, request, reply, &progress, &mut self.effects);
+        self.rows_written(times, &changed_rows);
         if let Some(leader) = &mut self.leader {
             for row in changed_rows {
                 leader.job_record_changed(times, &row, &mut self.requests);
@@ -129,6 +131,7 @@
                     leader.handle_cloud_reply(times, call, reply, &mut self.effects);
                 }
             }
+            Some(CallPurpose::Reclaim(call)) => self.reclaimer.handle_cloud_reply(times.now, call, reply),
             _ => {}
         }
     }
@@ -151,6 +154,9 @@
                 }
             }
             Some(CallPurpose::Holder(call)) => self.handle_holder_command_reply(times.now, call, reply),
+            Some(CallPurpose::Reclaim(call)) => {
+                self.reclaimer.handle_inspection(times.now, call, &reply, &mut self.effects);
+            }
             _ => {}
         }
     }
--- a/crates/plankhead-core/src/node/shards.rs
+++ b/crates/plankhead-core/src/node/shards.rs
@@ -145,13 +145,16 @@
 
     pub(super) fn handle_holder_kv_reply(
         &mut self,
-        now: Duration,
+        times: StepTime,
         call: HolderCall,
         reply: Result<KvReply, CallError>,
     ) {
+        let now = times.now;
         let evidence = self.holder_evidence(now);
         let (Some(sharding), HolderCall::WatchJobs(step)) = (&mut self.sharding, call) else { return };
-        sharding.holder.handle_kv_reply(now, step, reply, &mut self.requests, evidence, &mut self.effects);
+        let (requests, effects) = (&mut self.requests, &mut self.effects);
+        let update = sharding.holder.handle_kv_reply(now, step, reply, requests, evidence, effects);
+        self.jobs_changed(times, update);
     }
 
     pub(super) fn handle_holder_command_reply(
--- a/crates/plankhead-core/src/node/view.rs
+++ b/crates/plankhead-core/src/node/view.rs
@@ -15,6 +15,7 @@
             "leaderHost": self.known_leader(times.now, 0).map(|leader| leader.host),
             "tokens": {"highest": self.token_guard.highest(), "refused": self.token_guard.refused()},
             "peers": self.peers.view(times.now),
+            "reclaim": self.reclaimer.view(times.now),
             "sharding": self.sharding_view(times.now),
             "reachability": self.reachability.as_ref().map(|reachability| reachability.view(times.now)),
         })
--- a/crates/plankhead-core/src/protocol/events.rs
+++ b/crates/plankhead-core/src/protocol/events.rs
@@ -75,6 +75,8 @@
         incarnation: u64,
         commands: Vec<WorkerCommand>,
     },
+    /// Asks a worker for its heartbeat, without any commands. [`Event::CommandReply`] reports the answer.
+    InspectWorker { call: CallId, address: Arc<str> },
     /// Sends this node's heartbeat to every peer.
     SendPeerHeartbeat(PeerHeartbeat),
     /// Sends this node's coverage to every peer.
--- /dev/null
+++ b/crates/plankhead-core/src/reclaim/mod.rs
@@ -0,0 +1,430 @@
+//! The reclaimer: returns machines that may still run tasks of cancelled jobs while no node can lead.
+//!
+//! Every node that does not lead, or has not loaded its state as a leader, keeps the attempts of cancelled
+//! jobs that are not known to be over ([`tasks`]). It inspects the workers of their machines shortly before
+//! the deadlines ([`inspections`]). A machine whose worker does not answer is returned if [`plankhead_fencing::leaderless`] finds nothing that forbids it; that module states the
+//! evidence. A leader that has loaded its state returns such machines itself, see
+//! `leader::machine_checks`. `docs/fencing.md` describes the rule.
+
+pub mod addresses;
+pub mod deadlines;
+pub mod inspections;
+pub mod tasks;
+
+use crate::calls::{CallPurpose, KeyWatchCall, ReclaimCall};
+use crate::effects::{EffectSink, StepTime};
+use crate::job_watch::{CancelledJob, JobUpdate, JobWatch};
+use crate::jobs::chunk::stored_attempts;
+use crate::jobs::job::JobId;
+use crate::leadership::election;
+use crate::protocol::{
+    CallError, CloudReply, CloudRequest, CommandReply, Heartbeat, KeyValue, KvReply, KvRequest, LogLevel,
+    MachineName,
+};
+use crate::requests::RequestHandler;
+use crate::settings::Settings;
+use addresses::Addresses;
+use deadlines::{cancellation_timeout, inspection_delay};
+use inspections::Inspections;
+use plankhead_fencing::leaderless::{reclaim_due, Forbidden, LeaderlessReclaim, NodeEvidence, PeerClaims};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tasks::{CancelledAttempt, CancelledTasks};
+
+/// The maximum number of reads of placements in flight.
+const MAX_READS_IN_FLIGHT: u32 = 4;
+/// The pause after a failed read of placements.
+const READ_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// The time between two checks of the machines while some reclaim is near.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The time between two reads that test whether the state service answers.
+const STORE_TEST_INTERVAL: Duration = Duration::from_millis(500);
+/// The pause after a return that failed or was not answered.
+const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long a cancelled job is kept at most. The record of a job that was archived while this node did not
+/// watch the jobs might otherwise be kept forever.
+const MAX_TASK_AGE: Duration = Duration::from_secs(600);
+/// The maximum number of machines that the operators' view lists.
+const MAX_MACHINES_SHOWN: usize = 100;
+
+/// What the reclaimer has done since the process started.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counters {
+    /// The number of machines that the cloud took back.
+    reclaimed: u64,
+    /// The number of return requests.
+    requests: u64,
+}
+
+/// The reclaimer of one node.
+#[derive(Debug)]
+pub struct Reclaimer {
+    settings: Arc<Settings>,
+    /// The watch of the job records, unless the holder role has one.
+    watch: Option<JobWatch>,
+    /// Whether another node leads, as far as known. Otherwise this node may be about to lead, and would
+    /// read the jobs anyway.
+    is_following: bool,
+    tasks: CancelledTasks,
+    inspections: Inspections,
+    addresses: Addresses,
+    reads_in_flight: u32,
+    next_read_at: Duration,
+    next_check_at: Duration,
+    store_test_in_flight: bool,
+    next_store_test_at: Duration,
+    release_in_flight: bool,
+    next_release_at: Duration,
+    /// The machines whose reclaim was logged.
+    logged: BTreeSet<MachineName>,
+    /// What forbade the latest reclaim that was considered.
+    forbidden: Option<Forbidden>,
+    counters: Counters,
+}
+
+impl Reclaimer {
+    /// Creates the reclaimer of a node that has just started.
+    pub fn new(settings: Arc<Settings>) -> Self {
+        Self {
+            watch: (!settings.sharding.enabled).then(JobWatch::default),
+            settings,
+            is_following: false,
+            tasks: CancelledTasks::default(),
+            inspections: Inspections::default(),
+            addresses: Addresses::default(),
+            reads_in_flight: 0,
+            next_read_at: Duration::ZERO,
+            next_check_at: Duration::ZERO,
+            store_test_in_flight: false,
+            next_store_test_at: Duration::ZERO,
+            release_in_flight: false,
+            next_release_at: Duration::ZERO,
+            logged: BTreeSet::new(),
+            forbidden: None,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Records a cancelled job, whose placements are then read.
+    pub fn job_cancelled(&mut self, times: StepTime, job: CancelledJob) {
+        let Some(cancelled_ms) = job.cancelled_ms else { return };
+        self.tasks.add_job(job.id, times.monotonic_of(cancelled_ms));
+    }
+
+    /// Records a change of job records that this node has seen.
+    pub fn jobs_changed(&mut self, times: StepTime, update: JobUpdate) {
+        for job in update.cancelled {
+            self.job_cancelled(times, job);
+        }
+        update.ended.iter().for_each(|id| self.tasks.remove_job(id));
+    }
+
+    /// Records a job record that this node has written for a user.
+    pub fn row_written(&mut self, times: StepTime, row: &KeyValue) {
+        if let Some(job) = CancelledJob::of_row(row) {
+            self.job_cancelled(times, job);
+        }
+    }
+
+    /// Takes over an attempt of a cancelled job that this node knew as the leader.
+    pub fn take_over(&mut self, machine: MachineName, attempt: CancelledAttempt) {
+        self.tasks.add_known_attempt(machine, attempt);
+    }
+
+    /// Forgets all tasks, because the leader on this node has loaded its state and acts itself.
+    pub fn leader_is_ready(&mut self) {
+        self.tasks.clear();
+        self.inspections.retain(|_| false);
+        self.logged.clear();
+        self.forbidden = None;
+    }
+
+    /// Records a worker's heartbeat, whichever node it was meant for.
+    pub fn observe_heartbeat(&mut self, heartbeat: &Heartbeat) {
+        self.tasks.observe(heartbeat);
+    }
+
+    /// Records whether another node leads, as far as known.
+    pub fn set_following(&mut self, is_following: bool) {
+        self.is_following = is_following;
+    }
+
+    /// Does the work that is due on a node that does not lead, or has not loaded its state.
+    pub fn tick(&mut self, times: StepTime, peers: PeerClaims, effects: &mut EffectSink) {
+        let now = times.now;
+        if self.is_following {
+            if let Some((call, request)) = self.watch.as_mut().and_then(|watch| watch.tick(now)) {
+                effects.call_kv(CallPurpose::Reclaim(ReclaimCall::WatchJobs(call)), request);
+            }
+        }
+        self.read_placements(now, effects);
+        if now < self.next_check_at {
+            return;
+        }
+        self.next_check_at = now + CHECK_INTERVAL;
+        self.tasks.forget_before(now.saturating_sub(MAX_TASK_AGE));
+        self.drop_unlisted_machines();
+        self.inspect_machines(now, effects);
+        self.test_store(now, peers, effects);
+    }
+
+    /// Returns when [`Reclaimer::tick`] must be called next, if no event arrives before.
+    pub fn next_due(&self) -> Duration {
+        let watch = self.watch.as_ref().filter(|_| self.is_following).and_then(JobWatch::next_due);
+        let may_read = self.tasks.has_unread() && self.reads_in_flight < MAX_READS_IN_FLIGHT;
+        let read = may_read.then_some(self.next_read_at);
+        let first_deadline = self.tasks.machines().map(|(_, cancelled_at)| cancelled_at).min();
+        let check = first_deadline
+            .map(|cancelled_at| self.next_check_at.max(cancelled_at + inspection_delay(&self.settings)));
+        [watch, read, check].into_iter().flatten().min().unwrap_or(Duration::MAX)
+    }
+
+    fn read_placements(&mut self, now: Duration, effects: &mut EffectSink) {
+        while now >= self.next_read_at && self.reads_in_flight < MAX_READS_IN_FLIGHT {
+            let Some(id) = self.tasks.begin_read() else { return };
+            self.read_chunks(id, None, effects);
+        }
+    }
+
+    fn read_chunks(&mut self, id: JobId, after: Option<String>, effects: &mut EffectSink) {
+        self.reads_in_flight += 1;
+        let request = KvRequest::List { prefix: id.chunk_prefix(), after };
+        effects.call_kv(CallPurpose::Reclaim(ReclaimCall::ListChunks(id)), request);
+    }
+
+    /// Returns when an attempt of a job that was cancelled at this time must be gone.
+    fn deadline(&self, cancelled_at: Duration) -> Duration {
+        cancelled_at + cancellation_timeout(&self.settings)
+    }
+
+    /// Returns the machines whose reclaim is near.
+    fn suspects(&self, now: Duration) -> Vec<MachineName> {
+        let delay = inspection_delay(&self.settings);
+        let is_near = |(_, cancelled_at): &(&MachineName, Duration)| now >= *cancelled_at + delay;
+        self.tasks.machines().filter(is_near).map(|(machine, _)| machine.clone()).collect()
+    }
+
+    /// Drops the machines that the inventory lacks. A machine that has run a task is listed until it is
+    /// gone, once the list's lag has passed.
+    fn drop_unlisted_machines(&mut self) {
+        let Some(completed_at) = self.addresses.completed_at() else { return };
+        let lag = self.settings.inventory_lag * 2 + Duration::from_secs(1);
+        let is_gone = |(machine, cancelled_at): &(&MachineName, Duration)| {
+            completed_at >= *cancelled_at + lag && self.addresses.get(machine).is_none()
+        };
+        let gone: Vec<MachineName> =
+            self.tasks.machines().filter(is_gone).map(|(machine, _)| machine.clone()).collect();
+        gone.iter().for_each(|machine| self.tasks.machine_released(machine));
+    }
+
+    fn inspect_machines(&mut self, now: Duration, effects: &mut EffectSink) {
+        let suspects = self.suspects(now);
+        let Some(first) = suspects.first() else { return };
+        if let Some(request) = self.addresses.next_read(first, now) {
+            effects.call_cloud(CallPurpose::Reclaim(ReclaimCall::ListInstances), request);
+        }
+        for machine in suspects {
+            let Some(address) = self.addresses.get(&machine) else { continue };
+            if self.inspections.begin(&machine, now) {
+                let call = ReclaimCall::Inspect { machine, sent: now };
+                effects.inspect_worker(CallPurpose::Reclaim(call), address);
+            }
+        }
+    }
+
+    /// Reads a key of the state service if a reclaim is due. Only the failure of this read permits the
+    /// reclaim, in the step in which it becomes known.
+    fn test_store(&mut self, now: Duration, peers: PeerClaims, effects: &mut EffectSink) {
+        let is_busy = self.store_test_in_flight || self.release_in_flight;
+        let next_at = self.next_store_test_at.max(self.next_release_at);
+        let is_due = |(machine, cancelled_at): (&MachineName, Duration)| {
+            now >= reclaim_due(self.deadline(cancelled_at), peers)
+                && self.inspections.is_unresponsive(machine)
+        };
+        if is_busy || now < next_at || !self.tasks.machines().any(is_due) {
+            return;
+        }
+        self.store_test_in_flight = true;
+        self.next_store_test_at = now + STORE_TEST_INTERVAL;
+        let call = ReclaimCall::TestStore { sent: now };
+        effects.call_kv(CallPurpose::Reclaim(call), KvRequest::Get { key: election::KEY.into() });
+    }
+
+    /// Handles the reply to the read that tests the state service. Returns when it was sent, if it failed.
+    pub fn store_tested(&mut self, sent: Duration, reply: &Result<KvReply, CallError>) -> Option<Duration> {
+        self.store_test_in_flight = false;
+        matches!(reply, Err(CallError::Refused | CallError::OutcomeUnknown)).then_some(sent)
+    }
+
+    /// Handles a reply of the job watch, and returns the changes.
+    pub fn jobs_watched(
+        &mut self,
+        now: Duration,
+        call: KeyWatchCall,
+        reply: Result<KvReply, CallError>,
+        requests: &mut RequestHandler,
+    ) -> JobUpdate {
+        let watch = self.watch.as_mut();
+        watch.map(|watch| watch.handle_reply(now, call, reply, requests)).unwrap_or_default()
+    }
+
+    /// Handles a page of a cancelled job's chunks.
+    pub fn chunks_read(
+        &mut self,
+        now: Duration,
+        id: JobId,
+        reply: Result<KvReply, CallError>,
+        effects: &mut EffectSink,
+    ) {
+        self.reads_in_flight = self.reads_in_flight.saturating_sub(1);
+        let Ok(KvReply::Page { rows, truncated, .. }) = reply else {
+            self.next_read_at = now + READ_RETRY_INTERVAL;
+            return self.tasks.read_failed(&id);
+        };
+        let last = rows.last().map(|row| row.key.clone());
+        if let Some(rows) = self.tasks.page_read(&id, rows, truncated) {
+            match stored_attempts(&rows) {
+                Ok(attempts) => self.tasks.add_attempts(&id, attempts),
+                Err(error) => {
+                    effects.log(LogLevel::Error, format!("placements unreadable: job={id} reason={error}"));
+                }
+            }
+        } else if truncated {
+            self.read_chunks(id, last, effects);
+        }
+    }
+
+    /// Requests the return of the machines of which nothing forbids it, now that a read of the state
+    /// service, sent at `failed_read_sent_at`, has failed.
+    pub fn reclaim(
+        &mut self,
+        now: Duration,
+        failed_read_sent_at: Duration,
+        peers: PeerClaims,
+        effects: &mut EffectSink,
+    ) {
+        let node =
+            NodeEvidence { now, failed_read_sent_at, cloud_replied_at: self.addresses.replied_at(), peers };
+        let machines = self.tasks.machines().map(|(machine, cancelled_at)| {
+            (machine.clone(), self.inspections.evidence(machine, self.deadline(cancelled_at)))
+        });
+        match LeaderlessReclaim::decide(&node, machines) {
+            Ok(reclaim) => {
+                self.forbidden = None;
+                self.log_reclaim(now, &reclaim, peers, effects);
+                self.request_return(reclaim, effects);
+            }
+            Err(forbidden) => self.forbidden = Some(forbidden),
+        }
+    }
+
+    /// Logs each machine once, with the attempt that must be gone and the evidence.
+    fn log_reclaim(
+        &mut self,
+        now: Duration,
+        reclaim: &LeaderlessReclaim,
+        peers: PeerClaims,
+        effects: &mut EffectSink,
+    ) {
+        for machine in reclaim.machines() {
+            let Some(attempt) = self.tasks.first_attempt(machine) else { continue };
+            if !self.logged.insert(machine.clone()) {
+                continue;
+            }
+            let text = format!(
+                "machine reclaimed without a leader: machine={machine} reason=cancellation_due {} \
+                 unanswered={} peers={peers}",
+                self.describe(now, attempt),
+                self.inspections.unanswered(machine),
+            );
+            effects.log(LogLevel::Info, text);
+        }
+    }
+
+    /// Returns the fields of a log line that identify a cancelled attempt and its deadline.
+    fn describe(&self, now: Duration, attempt: &CancelledAttempt) -> String {
+        let CancelledAttempt { task, number, cancelled_at, .. } = attempt;
+        let deadline_in = self.deadline(*cancelled_at).as_secs_f64() - now.as_secs_f64();
+        format!("task={}/{} attempt={number} deadline_in_s={deadline_in:.1}", task.job, task.index)
+    }
+
+    fn request_return(&mut self, reclaim: LeaderlessReclaim, effects: &mut EffectSink) {
+        self.release_in_flight = true;
+        self.counters.requests += 1;
+        let call = ReclaimCall::Release { machines: reclaim.machines().to_vec() };
+        effects.call_cloud(CallPurpose::Reclaim(call), CloudRequest::Execute(reclaim.into()));
+    }
+
+    /// Handles a reply of the cloud.
+    pub fn handle_cloud_reply(
+        &mut self,
+        now: Duration,
+        call: ReclaimCall,
+        reply: Result<CloudReply, CallError>,
+    ) {
+        match call {
+            ReclaimCall::ListInstances => self.inventory_read(now, reply),
+            ReclaimCall::Release { machines } => {
+                self.release_in_flight = false;
+                self.next_release_at = now + RELEASE_RETRY_INTERVAL;
+                if reply.is_ok() {
+                    self.addresses.cloud_replied(now);
+                    self.counters.reclaimed += machines.len() as u64;
+                    machines.iter().for_each(|machine| self.tasks.machine_released(machine));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn inventory_read(&mut self, now: Duration, reply: Result<CloudReply, CallError>) {
+        let last = self.tasks.machines().last().map(|(machine, _)| machine.clone());
+        let tasks = &self.tasks;
+        self.addresses
+            .page_read(now, reply, &last.unwrap_or_else(|| "".into()), |machine| tasks.may_be_on(machine));
+    }
+
+    /// Handles a worker's reply to an inspection.
+    pub fn handle_inspection(
+        &mut self,
+        now: Duration,
+        call: ReclaimCall,
+        reply: &CommandReply,
+        effects: &mut EffectSink,
+    ) {
+        let ReclaimCall::Inspect { machine, sent } = call else { return };
+        let was_unresponsive = self.inspections.is_unresponsive(&machine);
+        self.inspections.end(&machine, sent, reply, now);
+        if let CommandReply::Answered(heartbeat) = reply {
+            self.tasks.observe(heartbeat);
+        }
+        let attempt = self.tasks.first_attempt(&machine);
+        if let Some(attempt) =
+            attempt.filter(|_| !was_unresponsive && self.inspections.is_unresponsive(&machine))
+        {
+            let text = format!(
+                "cancelled task on an unresponsive machine: machine={machine} {}",
+                self.describe(now, attempt)
+            );
+            effects.log(LogLevel::Info, text);
+        }
+        let tasks = &self.tasks;
+        self.inspections.retain(|machine| tasks.may_be_on(machine));
+    }
+
+    /// Returns the JSON object under `reclaim` in the operators' view.
+    pub fn view(&self, now: Duration) -> serde_json::Value {
+        let (jobs, attempts) = self.tasks.counts();
+        let machine = |(machine, cancelled_at): (&MachineName, Duration)| {
+            let deadline = self.deadline(cancelled_at).as_secs_f64();
+            serde_json::json!({"machine": machine.as_ref(), "deadlineInS": deadline - now.as_secs_f64(),
+                "unanswered": self.inspections.unanswered(machine)})
+        };
+        let machines: Vec<_> = self.tasks.machines().take(MAX_MACHINES_SHOWN).map(machine).collect();
+        serde_json::json!({"cancelledJobs": jobs, "attempts": attempts, "machines": machines,
+            "forbidden": self.forbidden.map(|forbidden| forbidden.to_string()),
+            "requests": self.counters.requests, "reclaimed": self.counters.reclaimed})
+    }
+}
--- a/crates/plankhead-core/tests/world/cuts.rs
+++ b/crates/plankhead-core/tests/world/cuts.rs
@@ -104,7 +104,7 @@
         let link = match &effect {
             Effect::CallKv { request, .. } => link_of(request),
             Effect::CallCloud { .. } => Link::Cloud,
-            Effect::SendCommands { .. } => Link::Commands,
+            Effect::SendCommands { .. } | Effect::InspectWorker { .. } => Link::Commands,
             Effect::Respond { request, .. } => match self.pending_requests.get(&(node, boot, *request)) {
                 Some((_, PendingRequest::Heartbeat { .. })) => Link::HeartbeatResponses,
                 _ => return Some(effect),
@@ -154,6 +154,11 @@
                     if how == CutMode::Refuse { CommandReply::NotSent } else { CommandReply::Unanswered };
                 (COMMAND_TIMEOUT, Event::CommandReply { call, reply })
             }
+            Effect::InspectWorker { call, .. } => {
+                let reply =
+                    if how == CutMode::Refuse { CommandReply::NotSent } else { CommandReply::Unanswered };
+                (COMMAND_TIMEOUT, Event::CommandReply { call, reply })
+            }
             Effect::Respond { request, response } => {
                 if let Response::Commands { token, commands } = &response {
                     self.check_commands(*token, commands);
--- a/crates/plankhead-core/tests/world/digest.rs
+++ b/crates/plankhead-core/tests/world/digest.rs
@@ -100,6 +100,11 @@
                 self.number(*incarnation);
                 self.commands(commands);
             }
+            Effect::InspectWorker { call, address } => {
+                self.tag(9);
+                self.number(*call);
+                self.text(address);
+            }
             Effect::SendPeerHeartbeat(peer_heartbeat) => {
                 self.tag(5);
                 self.text(&peer_heartbeat.host);
@@ -270,6 +275,7 @@
                     Basis::Recorded { revision } => self.number(revision),
                     Basis::Compelled => self.tag(1),
                     Basis::Unfenced => self.tag(2),
+                    Basis::Leaderless => self.tag(3),
                 }
             }
         }
--- a/crates/plankhead-core/tests/world/effects.rs
+++ b/crates/plankhead-core/tests/world/effects.rs
@@ -52,6 +52,9 @@
                 self.schedule_in(held, late);
                 Event::CommandReply { call, reply: CommandReply::Unanswered }
             }
+            Effect::InspectWorker { call, .. } => {
+                Event::CommandReply { call, reply: CommandReply::Unanswered }
+            }
             Effect::SendShardMessage { call, to, message } => {
                 self.deliver_shard_message_late(held, &to, message);
                 Event::ShardMessageDelivery { call, delivery: Delivery::NoResponse }
@@ -68,7 +71,7 @@
                 Some((_, PendingRequest::Heartbeat { machine, .. })) => self.within_cut_zone(node, machine),
                 _ => false,
             },
-            Effect::SendCommands { address, .. } => {
+            Effect::SendCommands { address, .. } | Effect::InspectWorker { address, .. } => {
                 self.within_cut_zone(node, address.trim_start_matches("at-"))
             }
             Effect::Log(..) => true,
@@ -97,6 +100,7 @@
             Effect::CallKv { call, request } => self.call_kv(actor, call, request),
             Effect::CallCloud { call, request } => self.call_cloud(actor, call, request),
             effect @ Effect::SendCommands { .. } => self.send_commands(actor, effect),
+            Effect::InspectWorker { call, address } => self.inspect_worker(actor, call, &address),
             Effect::SendPeerHeartbeat(peer_heartbeat) => self.send_peer_heartbeat(node, peer_heartbeat),
             Effect::SendCoverage(coverage) => self.send_coverage(node, boot, coverage),
             Effect::SendShardMessage { call, to, message } => {
@@ -203,6 +207,19 @@
         );
     }
 
+    /// Asks a worker for its heartbeat. This is like a command that the worker refuses, since no worker has
+    /// the incarnation 0.
+    fn inspect_worker(&mut self, actor: fencing::Actor, call: CallId, address: &str) {
+        let fencing::Actor { node, boot, .. } = actor;
+        let machine: MachineName = address.trim_start_matches("at-").into();
+        let delay = self.random_ms(1, 5);
+        let commands = Vec::new();
+        self.schedule_in(
+            delay,
+            SimEvent::CommandsArrive { node, boot, call, machine, token: 0, incarnation: 0, commands },
+        );
+    }
+
     /// Sends a heartbeat to the peers that the node reaches.
     fn send_peer_heartbeat(&mut self, node: usize, peer_heartbeat: PeerHeartbeat) {
         for other in (0..3).filter(|n| *n != node) {
--- a/crates/plankhead-core/tests/world/events.rs
+++ b/crates/plankhead-core/tests/world/events.rs
@@ -4,7 +4,7 @@
 use super::requests::PendingRequest;
 use super::script::{Fault, InvalidRequest, Trigger};
 use super::worker::Worker;
-use super::{cuts, fencing, shards, World};
+use super::{cuts, fencing, shards, World, SIM_START};
 use plankhead_core::node::Node;
 use plankhead_core::protocol::{
     CallError, CallId, CloudRequest, Effect, Event, Heartbeat, KvRequest, MachineName, RequestId, Response,
@@ -176,6 +176,10 @@
     },
     /// Applies a fault to the current leader.
     FaultLeader(Fault),
+    /// Applies a fault to the nth node after the current leader or, if there is none, after the first node.
+    FaultNode(usize, Fault),
+    /// Lets all machines that hang go on.
+    ResumeMachines,
     /// Applies a fault to a node that takes part in the latest shard move.
     FaultMoveParty(shards::ShardParty, Fault),
     /// Stops all nodes for the duration.
@@ -216,7 +220,10 @@
     #[allow(clippy::too_many_lines)]
     pub(super) fn handle(&mut self, event: SimEvent) {
         match event {
-            SimEvent::Start { node } => self.start_node(node),
+            SimEvent::Start { node } => {
+                self.log_event(&format!("plank-{node} starts"));
+                self.start_node(node);
+            }
             SimEvent::Crash { node } => self.crash_node(node),
             SimEvent::Upgrade { node } => {
                 self.runs_old_version[node] = false;
@@ -294,7 +301,18 @@
             SimEvent::RefuseNode { node, until } => self.refused_until[node] = until,
             SimEvent::FaultLeader(fault) => self.fault_leader(fault),
             SimEvent::FaultMoveParty(party, fault) => self.fault_move_party(party, fault),
-            SimEvent::StopAllNodes { duration } => self.stop_all_nodes(duration),
+            SimEvent::FaultNode(nth, fault) => {
+                let node = (self.leader().unwrap_or(0) + nth) % 3;
+                self.apply_fault(node, fault);
+            }
+            SimEvent::ResumeMachines => {
+                let now = self.now;
+                self.workers.values_mut().for_each(|w| w.hung_until = w.hung_until.min(now));
+            }
+            SimEvent::StopAllNodes { duration } => {
+                self.log_event("all nodes stop");
+                self.stop_all_nodes(duration);
+            }
             SimEvent::CancelRunningJobs { count, hang } => self.cancel_running_jobs(count, hang),
             SimEvent::CutZone { zone, until } => self.cut_zone(zone, until),
             SimEvent::DropHeartbeats { until } => {
@@ -357,6 +375,13 @@
         }
     }
 
+    /// Prints an event beside the nodes' log.
+    fn log_event(&self, text: &str) {
+        if self.log {
+            println!("{:.3} -- {text}", (self.now - SIM_START).as_secs_f64());
+        }
+    }
+
     fn watch_ends(&mut self, watch: u64) {
         if let Some(at) = self.watches.iter().position(|w| w.id == watch) {
             let watch = self.watches.swap_remove(at);
--- a/crates/plankhead-core/tests/world/fencing.rs
+++ b/crates/plankhead-core/tests/world/fencing.rs
@@ -6,7 +6,7 @@
 use super::events::SimEvent;
 use super::{World, SIM_START};
 use plankhead_core::effects::StepTime;
-use plankhead_core::protocol::{CloudRequest, KvChange, KvReply, KvRequest};
+use plankhead_core::protocol::{CloudRequest, KvChange, KvReply, KvRequest, TaskId};
 use plankhead_fencing::action::CloudAction;
 use plankhead_fencing::gate::Basis;
 use serde_json::Value;
@@ -35,6 +35,14 @@
     pub compelled: u32,
     /// Forced returns by former leaders that no open intent covered.
     pub compelled_stale: u32,
+    /// Returns by nodes that did not hold the lease when they decided, under the rule for nodes that do
+    /// not lead.
+    pub leaderless: u32,
+    /// Those that took away a machine that had worked for some time and had no task of a cancelled job.
+    pub leaderless_needless: u32,
+    /// The attempts of jobs that were not cancelled, on machines that had worked for some time and that
+    /// such returns took away.
+    pub leaderless_lost_attempts: u32,
 }
 
 /// How a node's clocks run.
@@ -46,6 +54,9 @@
     pub jumps: Duration,
 }
 
+/// The time that a node may need to notice that a machine works again.
+const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(4);
+
 pub const TRUE_CLOCK: Clock = Clock { rate: 1.0, jumps: Duration::ZERO };
 
 impl World {
@@ -112,6 +123,9 @@
             }
         };
         let holder = actor.term > 0 && self.kv.mod_revision("lead") == Some(actor.term);
+        if permitted.basis() == Basis::Leaderless {
+            return self.count_leaderless(permitted.action(), &subjects);
+        }
         let compelled = permitted.basis() == Basis::Compelled;
         let covered: Vec<bool> =
             subjects.iter().map(|(subject, rental)| self.has_open_intent(subject, *rental)).collect();
@@ -130,6 +144,26 @@
         }
     }
 
+    /// Counts the returns that the cloud carries out for a node that does not lead, and checks that
+    /// nothing is rented in this way. What they take away besides tasks of cancelled jobs is counted.
+    fn count_leaderless(&mut self, action: &CloudAction, subjects: &[(&str, bool)]) {
+        assert!(matches!(action, CloudAction::Return(_)), "{action:?} was requested without leading");
+        let mut counts = self.cloud_effects;
+        for (machine, _) in subjects {
+            let Some(worker) = self.workers.get(*machine) else { continue };
+            let works_since = worker.hung_until.max(worker.cut_until) + MAX_EVIDENCE_AGE;
+            let works = worker.is_up(self.now) && self.now >= works_since;
+            let of_cancelled = |task: &TaskId| self.jobs[self.by_id[&task.job]].cancelled_at.is_some();
+            let running: Vec<&TaskId> = worker.running_tasks().map(|(task, _)| task).collect();
+            let others = running.iter().filter(|task| !of_cancelled(task)).count();
+            counts.all += 1;
+            counts.leaderless += 1;
+            counts.leaderless_needless += u32::from(works && others == running.len());
+            counts.leaderless_lost_attempts += if works { others as u32 } else { 0 };
+        }
+        self.cloud_effects = counts;
+    }
+
     /// Returns whether an open intent in the state service names the rental or the machine.
     fn has_open_intent(&self, subject: &str, rental: bool) -> bool {
         let pages = self.kv.values("duty/").map(|text| serde_json::from_str::<Value>(text).unwrap());
--- a/crates/plankhead-fencing/src/gate.rs
+++ b/crates/plankhead-fencing/src/gate.rs
@@ -3,9 +3,11 @@
 //! [`PermittedAction`] and [`IssueProof`] have no public constructors. Proofs are created only by
 //! [`IntentLog`](crate::intent_log::IntentLog), for intents that are durable and for forced returns, which
 //! are returns that [`allow_unrecorded_issue`](crate::intent_log::IntentLog::allow_unrecorded_issue) permits.
+//! The only action without a proof is a [`LeaderlessReclaim`], which has rules of its own.
 
 use crate::action::{ActionDigest, CloudAction};
 use crate::intent::IdempotencyKey;
+use crate::leaderless::LeaderlessReclaim;
 use thiserror::Error;
 
 /// The reason why an action may be sent.
@@ -20,6 +22,8 @@
     Compelled,
     /// Fencing is disabled.
     Unfenced,
+    /// The sender does not lead, see [`LeaderlessReclaim`].
+    Leaderless,
 }
 
 /// Proof that an intent may be issued. It is created only by the intent log.
@@ -50,6 +54,12 @@
     }
 }
 
+impl From<LeaderlessReclaim> for PermittedAction {
+    fn from(reclaim: LeaderlessReclaim) -> Self {
+        Self { action: reclaim.into_action(), basis: Basis::Leaderless }
+    }
+}
+
 /// The reasons why the gate refuses an action.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum GateError {
@@ -122,7 +132,8 @@
             Ok(Basis::Recorded { .. }) => self.counts.recorded += 1,
             Ok(Basis::Compelled) => self.counts.compelled += 1,
             Ok(Basis::Unfenced) => self.counts.unfenced += 1,
-            Err(_) => self.counts.refused += 1,
+            // No intent has this basis.
+            Ok(Basis::Leaderless) | Err(_) => self.counts.refused += 1,
         }
         basis.map(|basis| PermittedAction { action, basis })
     }
--- a/crates/plankhead-fencing/src/lib.rs
+++ b/crates/plankhead-fencing/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`intent_log`]: the intents of one leader's term, both its own and the adopted ones;
 //! - [`page_writes`]: the writes to the state service that the log requests;
 //! - [`errors`]: the errors of the log;
+//! - [`leaderless`]: the one return that a node may request without leading;
 //! - [`gate`]: the only module that permits actions on the cloud;
 //! - [`token`]: the highest fencing token that a node has seen, and the refusal of lower ones.
 
@@ -24,6 +25,7 @@
 pub mod gate;
 pub mod intent;
 pub mod intent_log;
+pub mod leaderless;
 pub mod page_writes;
 mod pages;
 pub mod record;
--- a/crates/plankhead/src/clients/workers.rs
+++ b/crates/plankhead/src/clients/workers.rs
@@ -1,14 +1,16 @@
-//! Sends commands directly to workers.
+//! Sends commands and inspections directly to workers.
 
 use crate::http::Client;
 use crate::wire::workers::{encode_commands, parse_heartbeat};
-use hyper::Method;
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
 use plankhead_core::protocol::{CallError, CommandReply, WorkerCommand};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const INSPECTION_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// A cache of clients for the workers to which commands were sent most recently.
 #[derive(Debug)]
@@ -65,13 +67,24 @@
     pub async fn send(&self, batch: CommandBatch) -> CommandReply {
         let Some(client) = self.client(&batch.address) else { return CommandReply::NotSent };
         let body = encode_commands(batch.token, batch.incarnation, &batch.commands);
-        match client.call(Method::POST, "/orders", body, CALL_TIMEOUT).await {
-            Ok((status, body)) if matches!(status.as_u16(), 200 | 409) => match parse_heartbeat(&body) {
-                Ok(heartbeat) => CommandReply::Answered(heartbeat),
-                Err(_) => CommandReply::Unanswered,
-            },
-            Err(CallError::Refused) => CommandReply::NotSent,
-            _ => CommandReply::Unanswered,
-        }
+        parse_answer(client.call(Method::POST, "/orders", body, CALL_TIMEOUT).await)
+    }
+
+    /// Asks a worker for its heartbeat.
+    pub async fn inspect(&self, address: &Arc<str>) -> CommandReply {
+        let Some(client) = self.client(address) else { return CommandReply::NotSent };
+        parse_answer(client.call(Method::GET, "/inspect", Vec::new(), INSPECTION_TIMEOUT).await)
+    }
+}
+
+/// Parses a worker's answer, which contains its heartbeat if the worker is alive.
+fn parse_answer(answer: Result<(StatusCode, Bytes), CallError>) -> CommandReply {
+    match answer {
+        Ok((status, body)) if matches!(status.as_u16(), 200 | 409) => match parse_heartbeat(&body) {
+            Ok(heartbeat) => CommandReply::Answered(heartbeat),
+            Err(_) => CommandReply::Unanswered,
+        },
+        Err(CallError::Refused) => CommandReply::NotSent,
+        _ => CommandReply::Unanswered,
     }
 }
--- a/crates/plankhead/src/runtime/effects.rs
+++ b/crates/plankhead/src/runtime/effects.rs
@@ -46,6 +46,12 @@
                 let batch = CommandBatch { address, token, incarnation, commands };
                 self.spawn(async move { Event::CommandReply { call, reply: workers.send(batch).await } });
             }
+            Effect::InspectWorker { call, address } => {
+                let workers = self.workers.clone();
+                self.spawn(
+                    async move { Event::CommandReply { call, reply: workers.inspect(&address).await } },
+                );
+            }
             Effect::SendPeerHeartbeat(heartbeat) => self.send_heartbeat(&heartbeat),
             Effect::SendCoverage(coverage) => self.send_coverage(&coverage),
             Effect::SendShardMessage { call, to, message } => self.send_shard_message(call, &to, &message),
