A new leader returns a hung machine with a cancelled task although its term is short

The task was on its machine for 43.3 s (cancel_s is 36 s).

Cause: each new leader counts the silence of a machine from its own start (7.25 s), also for a cancellation that is due, unless only 3 s are left. A series of shorter terms never returns the machine.

Now a leader asks the workers that it hasn't heard from and that may have tasks of cancelled jobs from an earlier term (GET /inspect). Two unanswered inspections take the place of the wait when the cancellation is due, and count as loss before that, as unanswered commands do, unless this leader hears no worker, has no valid lease or the zone may be cut off. An answer keeps the machine.

--- a/crates/plankhead-core/src/calls.rs
+++ b/crates/plankhead-core/src/calls.rs
@@ -222,6 +222,8 @@
     ReadIntents { page: PageId, sent: Duration },
     /// Sends commands directly to a worker.
     SendCommands { machine: MachineName, incarnation: u64, starts: Vec<(TaskId, u64)> },
+    /// Inspects a worker. `sent` is when the call was sent.
+    Inspect { machine: MachineName, sent: Duration },
     /// Writes shard records.
     WriteShards { writes: Vec<RecordWrite>, sent: Duration },
     /// Sends a holder the commands for the machines of its shards.
--- a/crates/plankhead-core/src/fleet/removal.rs
+++ b/crates/plankhead-core/src/fleet/removal.rs
@@ -158,6 +158,11 @@
         marked
     }
 
+    /// Returns the zones that may be cut off from this node: more than half of their machines are silent.
+    pub fn cut_off_zones(&self, now: Duration, settings: &Settings) -> BTreeSet<String> {
+        RemovalCriteria::new(self.machines.values(), now, settings).cut_off_zones
+    }
+
     /// Marks machines that have been silent for longer than `max_silence`, a time within which
     /// their leases expire. If `only_minority` is set, marks none when more than half are silent.
     pub fn mark_silent_beyond_lease(&mut self, now: Duration, max_silence: Duration, only_minority: bool) {
--- a/crates/plankhead-core/src/leader/machine_checks.rs
+++ b/crates/plankhead-core/src/leader/machine_checks.rs
@@ -5,12 +5,14 @@
 use crate::calls::{CallPurpose, LeaderCall};
 use crate::effects::EffectSink;
 use crate::fleet::{Machine, RemovalReason};
+use crate::jobs::attempt::Attempt;
 use crate::jobs::job::JobPhase;
 use crate::protocol::{MachineName, TaskId};
 use crate::reclaim::deadlines::{cancellation_timeout, reclaim_delay};
 use crate::reclaim::tasks::CancelledAttempt;
 use plankhead_reachability::mode::Mode;
 use plankhead_reachability::permission::Action;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// The longest time that the cloud usually takes for a release.
@@ -81,11 +83,14 @@
         effects: &mut EffectSink,
     ) {
         self.check_silent_machines(now, evidence, effects);
-        let overdue = self.machines_with_overdue_tasks(now);
+        self.inspect_unheard_machines(now, effects);
+        let silence_counts =
+            evidence.lease_valid && self.receives_heartbeats(now) && self.permits(Action::RemoveSilent, now);
+        let reclaims = self.machines_to_reclaim(now, silence_counts);
         if !self.permits(Action::ReclaimOverdue, now) {
             return;
         }
-        for name in overdue {
+        for name in reclaims {
             self.fleet.add_placed_machine(&name, now);
             if let Some(machine) = self.fleet.machines.get_mut(&name) {
                 machine.removal.get_or_insert(RemovalReason::CancellationDue);
@@ -93,6 +98,45 @@
         }
     }
 
+    /// Inspects the workers of machines on which an earlier leader placed tasks of jobs that are
+    /// cancelled by now, as long as this leader has not heard from them. Their silence in earlier terms
+    /// is not known, so without inspections it would count from the start of this term only, and a
+    /// series of short terms would never return a machine that hangs.
+    fn inspect_unheard_machines(&mut self, now: Duration, effects: &mut EffectSink) {
+        let unheard = self.unheard_machines(now);
+        self.inspections.retain(|machine| unheard.contains(machine));
+        for machine in unheard {
+            let address = self.fleet.machines.get(&machine).map(|found| found.address.clone());
+            let Some(address) = address.filter(|address| !address.is_empty()) else { continue };
+            if self.inspections.begin(&machine, now) {
+                let call = LeaderCall::Inspect { machine, sent: now };
+                effects.inspect_worker(CallPurpose::Leader(self.token, call), address);
+            }
+        }
+    }
+
+    /// Returns the machines with attempts of cancelled jobs that were neither reported nor offered in
+    /// this term, and that are not being removed. Empty once workers have had time to send heartbeats.
+    fn unheard_machines(&self, now: Duration) -> BTreeSet<MachineName> {
+        if self.workers_had_time(now) {
+            return BTreeSet::new();
+        }
+        let is_unheard = |attempt: &&Attempt| {
+            attempt.reported_status.is_none()
+                && attempt.offered_under_token.is_none()
+                && self.fleet.machines.get(&attempt.machine).is_some_and(|machine| !machine.confirmed)
+        };
+        let cancelled = self.job_table.jobs.values().filter(|entry| entry.cancelled_at.is_some());
+        let attempts = cancelled.flat_map(|entry| self.job_table.attempts_of(entry));
+        attempts.filter(is_unheard).map(|attempt| attempt.machine.clone()).collect()
+    }
+
+    /// Returns whether this term has lasted for so long that every worker that is alive has sent a
+    /// heartbeat.
+    fn workers_had_time(&self, now: Duration) -> bool {
+        now.saturating_sub(self.started_at) > self.settings.failover_heartbeat_timeout()
+    }
+
     /// Marks machines with silent workers for removal, unless this node's own links may be at fault.
     fn check_silent_machines(&mut self, now: Duration, evidence: LeaderEvidence, effects: &mut EffectSink) {
         let receives_heartbeats = self.receives_heartbeats(now);
@@ -122,32 +166,42 @@
         }
     }
 
-    /// Returns the machines to reclaim because the deadline of a cancellation is near and no evidence
-    /// shows that the job's tasks on them have ended. They are reclaimed even in an outage or when all
-    /// machines hang.
-    fn machines_with_overdue_tasks(&self, now: Duration) -> Vec<MachineName> {
-        let (deadline, reclaim_delay) = (cancellation_timeout(&self.settings), reclaim_delay(&self.settings));
-        let workers_had_time =
-            now.saturating_sub(self.started_at) > self.settings.failover_heartbeat_timeout();
-        self.job_table
-            .jobs
-            .values()
-            .filter(|e| {
-                e.placed > 0 && e.cancelled_at.is_some_and(|at| now.saturating_sub(at) >= reclaim_delay)
-            })
-            .flat_map(|e| self.job_table.attempts_of(e).map(|a| (e.cancelled_at.unwrap_or_default(), a)))
+    /// Returns the machines to reclaim because no evidence shows that the tasks of a cancelled job on them
+    /// have ended, and the deadline of the cancellation is near. They are reclaimed even in an outage or
+    /// when all machines hang. A machine whose worker does not answer inspections is reclaimed earlier if
+    /// `silence_counts`, unless its zone may be cut off from this node.
+    fn machines_to_reclaim(&self, now: Duration, silence_counts: bool) -> Vec<MachineName> {
+        let cut_off_zones = self.fleet.cut_off_zones(now, &self.settings);
+        let is_lost = |machine: &MachineName| {
+            let found = self.fleet.machines.get(machine);
+            silence_counts
+                && self.inspections.is_unresponsive(machine)
+                && found.is_some_and(|found| !cut_off_zones.contains(&found.pool.zone))
+        };
+        let deadline = cancellation_timeout(&self.settings);
+        let reclaim_delay = reclaim_delay(&self.settings);
+        let workers_had_time = self.workers_had_time(now);
+        let is_due = |cancelled_at: Duration, attempt: &Attempt| {
             // An attempt placed by an earlier leader may have ended during that leader's term. The
             // first heartbeats to this leader show it, so wait for them if there is enough time. A
             // leader that starts shortly before the deadline stops waiting when only the time for the
             // release is left. Otherwise, a hung machine would keep its task past the deadline, until the
             // heartbeat timeout.
-            .filter(|(cancelled_at, attempt)| {
-                let latest_release = *cancelled_at + deadline.saturating_sub(RELEASE_DURATION);
-                attempt.reported_status.is_some()
-                    || attempt.offered_under_token.is_some()
-                    || workers_had_time
-                    || (self.started_at < *cancelled_at + deadline && now >= latest_release)
+            let latest_release = cancelled_at + deadline.saturating_sub(RELEASE_DURATION);
+            let is_evident = attempt.reported_status.is_some()
+                || attempt.offered_under_token.is_some()
+                || workers_had_time
+                || self.inspections.is_unresponsive(&attempt.machine)
+                || (self.started_at < cancelled_at + deadline && now >= latest_release);
+            now.saturating_sub(cancelled_at) >= reclaim_delay && is_evident
+        };
+        let cancelled = self.job_table.jobs.values().filter(|entry| entry.placed > 0);
+        cancelled
+            .filter_map(|entry| Some((entry, entry.cancelled_at?)))
+            .flat_map(|(entry, cancelled_at)| {
+                self.job_table.attempts_of(entry).map(move |attempt| (cancelled_at, attempt))
             })
+            .filter(|(cancelled_at, attempt)| is_lost(&attempt.machine) || is_due(*cancelled_at, attempt))
             .map(|(_, attempt)| attempt.machine.clone())
             .collect()
     }
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -33,6 +33,7 @@
 use crate::jobs::job_table::JobTable;
 use crate::leadership::election;
 use crate::protocol::{Condition, KvRequest, MachineType};
+use crate::reclaim::inspections::Inspections;
 use crate::settings::Settings;
 use crate::sizing::cpu_budget::CpuBudget;
 use arrivals::ArrivalHistory;
@@ -87,6 +88,8 @@
     scaling: Scaling,
     inventory: Inventory,
     intents: Intents,
+    /// Inspections of workers that may run tasks of cancelled jobs and were not heard from in this term.
+    inspections: Inspections,
     /// The holders of the shards, if sharding is enabled.
     shards: Option<LeaderShards>,
     /// Whether every node runs this version, so that data that older versions cannot read may be
@@ -126,6 +129,7 @@
             scaling: Scaling::new(&settings, now),
             inventory: Inventory::new(now),
             intents: Intents::new(&settings, token, now),
+            inspections: Inspections::default(),
             next_lateness_scan_at: now,
             shards: settings.sharding.enabled.then(|| LeaderShards::new(&settings, token, now)),
             settings,
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -82,8 +82,12 @@
         reply: CommandReply,
         effects: &mut EffectSink,
     ) {
-        let LeaderCall::SendCommands { machine: name, incarnation, starts } = leader_call else {
-            return;
+        let (name, incarnation, starts) = match leader_call {
+            LeaderCall::SendCommands { machine, incarnation, starts } => (machine, incarnation, starts),
+            LeaderCall::Inspect { machine, sent } => {
+                return self.inspections.end(&machine, sent, &reply, times.now);
+            }
+            _ => return,
         };
         let Some(machine) = self.fleet.machines.get_mut(&name) else { return };
         machine.end_command(incarnation, &starts, &reply);
--- a/crates/plankhead-core/tests/reclaim.rs
+++ b/crates/plankhead-core/tests/reclaim.rs
@@ -103,6 +103,22 @@
     }
 }
 
+/// Every node ends three times between a cancellation and its deadline. Each new leader counted the silence
+/// of a hung machine from the start of its own term, so none of them ever returned it.
+#[test]
+fn short_terms_reclaim_a_hung_machine() {
+    for (n, deployment) in DEPLOYMENTS.into_iter().enumerate() {
+        for seed in 0..6 {
+            let name = format!("short terms, deployment {n}");
+            play(&name, deployment, Faults::default(), seed, |world, at| {
+                for end in [4, 17, 30] {
+                    world.schedule_at(at + secs(end), SimEvent::StopAllNodes { duration: secs(6) });
+                }
+            });
+        }
+    }
+}
+
 /// The state service refuses only the leader when jobs are cancelled, and everybody a second later. The
 /// leader, which does not know of the cancellations, then ends or goes on.
 #[test]
