--- a/crates/plankhead-core/tests/world/events.rs
+++ b/crates/plankhead-core/tests/world/events.rs
@@ -224,7 +224,10 @@
                 self.log_event(&format!("plank-{node} starts"));
                 self.start_node(node);
             }
-            SimEvent::Crash { node } => self.crash_node(node),
+            SimEvent::Crash { node } => {
+                self.log_event(&format!("plank-{node} crashes"));
+                self.crash_node(node);
+            }
             SimEvent::Upgrade { node } => {
                 self.runs_old_version[node] = false;
                 self.kv.mixed_versions = self.runs_old_version.contains(&true);
--- a/crates/plankhead/src/tests/mod.rs
+++ b/crates/plankhead/src/tests/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod cli;
+mod inspections;
 mod intents;
 mod messages;
 mod peer_messages;
--- a/crates/plankhead/src/tests/standins.rs
+++ b/crates/plankhead/src/tests/standins.rs
@@ -21,7 +21,7 @@
     /// The number of upcoming transactions that are committed but get a malformed reply.
     pub malformed_commit_replies: u32,
     /// The machines that can still be rented, with their addresses.
-    machines: Vec<(String, SocketAddr)>,
+    pub machines: Vec<(String, SocketAddr)>,
     /// The rented machines by the name of the rental.
     rentals: BTreeMap<String, Vec<String>>,
     pub released: BTreeSet<String>,
@@ -234,6 +234,9 @@
     let handle = move |request: Request<Incoming>| {
         let worker = direct_worker.clone();
         async move {
+            if request.uri().path() == "/inspect" {
+                return ok(worker.lock().unwrap().heartbeat(name, address));
+            }
             let body: Value =
                 serde_json::from_slice(&http::read_body(request, 1 << 16).await.unwrap()).unwrap();
             let mut worker = worker.lock().unwrap();
