Reclaimer: only a read that looked for a machine shows that it is gone; fewer calls to the cloud

The inventory is read only while an address is missing or the cloud's latest reply is older than 4 s before a return, and a worker that answers is asked again after 2 s instead of half a second: a node that doesn't lead shares the cloud's rate limit with the leader.

--- a/crates/plankhead-core/src/node/leadership.rs
+++ b/crates/plankhead-core/src/node/leadership.rs
@@ -15,7 +15,7 @@
         match change {
             LeadershipChange::Unchanged => {}
             LeadershipChange::Won { token } => self.start_leading(times, token),
-            LeadershipChange::Lost => self.stop_leading(),
+            LeadershipChange::Lost => self.stop_leading(times.now),
         }
     }
 
@@ -32,10 +32,10 @@
         self.pass_holder_state_to_leader(times);
     }
 
-    fn stop_leading(&mut self) {
+    fn stop_leading(&mut self, now: Duration) {
         self.effects.log(LogLevel::Info, "leadership lost".into());
         if let Some(leader) = self.leader.take().filter(Leader::is_ready) {
-            self.keep_cancelled_tasks(&leader);
+            self.keep_cancelled_tasks(now, &leader);
         }
         self.resume_holder_role();
         if let Some(reachability) = &mut self.reachability {
--- a/crates/plankhead-core/src/node/reclaim.rs
+++ b/crates/plankhead-core/src/node/reclaim.rs
@@ -67,9 +67,9 @@
     }
 
     /// Keeps the attempts of cancelled jobs that a leader on this node knew, now that its term is over.
-    pub(super) fn keep_cancelled_tasks(&mut self, leader: &Leader) {
+    pub(super) fn keep_cancelled_tasks(&mut self, now: Duration, leader: &Leader) {
         for (machine, attempt) in leader.cancelled_attempts() {
-            self.reclaimer.take_over(machine, attempt);
+            self.reclaimer.take_over(now, machine, attempt);
         }
     }
 }
--- a/crates/plankhead-core/src/reclaim/addresses.rs
+++ b/crates/plankhead-core/src/reclaim/addresses.rs
@@ -18,8 +18,10 @@
     pages: BTreeMap<MachineName, Arc<str>>,
     /// The last machine of the page before the next one; `None` if the next page is the first.
     after: Option<MachineName>,
-    /// When the inventory was last read completely, as far as it is needed.
-    completed_at: Option<Duration>,
+    /// When the read that is in progress began.
+    read_began_at: Duration,
+    /// When the latest complete read began.
+    complete_read_at: Option<Duration>,
     in_flight: bool,
     next_read_at: Duration,
     replied_at: Option<Duration>,
@@ -31,9 +33,9 @@
         self.by_machine.get(machine).cloned()
     }
 
-    /// Returns when the inventory was last read completely.
-    pub fn completed_at(&self) -> Option<Duration> {
-        self.completed_at
+    /// Returns when the latest complete read began. The addresses are those that it listed.
+    pub fn complete_read_at(&self) -> Option<Duration> {
+        self.complete_read_at
     }
 
     /// Returns when the cloud last replied.
@@ -53,6 +55,9 @@
             return None;
         }
         self.in_flight = true;
+        if self.after.is_none() {
+            self.read_began_at = now;
+        }
         let after = self.after.clone().or_else(|| name_before(first));
         Some(CloudRequest::ListInstances { after })
     }
@@ -82,7 +87,7 @@
             self.next_read_at = now + PAGE_INTERVAL;
         } else {
             self.by_machine = std::mem::take(&mut self.pages);
-            self.completed_at = Some(now);
+            self.complete_read_at = Some(self.read_began_at);
         }
     }
 }
--- a/crates/plankhead-core/src/reclaim/inspections.rs
+++ b/crates/plankhead-core/src/reclaim/inspections.rs
@@ -8,8 +8,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// The pause after an inspection before the same worker is inspected again.
-const INSPECTION_INTERVAL: Duration = Duration::from_millis(500);
+/// The pause after an unanswered inspection before the same worker is inspected again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// The pause after an answered inspection.
+const INSPECTION_INTERVAL: Duration = Duration::from_secs(2);
 /// The maximum number of inspections in flight.
 const MAX_IN_FLIGHT: usize = 64;
 
@@ -45,11 +47,12 @@
     pub fn end(&mut self, machine: &MachineName, sent: Duration, reply: &CommandReply, now: Duration) {
         let Some(inspection) = self.by_machine.get_mut(machine) else { return };
         inspection.in_flight = false;
-        inspection.next_at = now + INSPECTION_INTERVAL;
         if matches!(reply, CommandReply::Answered(_)) {
+            inspection.next_at = now + INSPECTION_INTERVAL;
             inspection.unanswered = 0;
             inspection.unanswered_sent_at = None;
         } else {
+            inspection.next_at = now + RETRY_INTERVAL;
             inspection.unanswered += 1;
             inspection.unanswered_sent_at = Some(sent);
         }
--- a/crates/plankhead-core/src/reclaim/mod.rs
+++ b/crates/plankhead-core/src/reclaim/mod.rs
@@ -40,6 +40,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The time between two reads that test whether the state service answers.
 const STORE_TEST_INTERVAL: Duration = Duration::from_millis(500);
+/// The age of the cloud's latest reply from which on the inventory is read again before a return.
+const CLOUD_TEST_INTERVAL: Duration = Duration::from_secs(4);
 /// The pause after a return that failed or was not answered.
 const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -129,8 +131,8 @@
     }
 
     /// Takes over an attempt of a cancelled job that this node knew as the leader.
-    pub fn take_over(&mut self, machine: MachineName, attempt: CancelledAttempt) {
-        self.tasks.add_known_attempt(machine, attempt);
+    pub fn take_over(&mut self, now: Duration, machine: MachineName, attempt: CancelledAttempt) {
+        self.tasks.add_known_attempt(machine, attempt, now);
     }
 
     /// Forgets all tasks, because the leader on this node has loaded its state and acts itself.
@@ -206,24 +208,18 @@
         self.tasks.machines().filter(is_near).map(|(machine, _)| machine.clone()).collect()
     }
 
-    /// Drops the machines that the inventory lacks. A machine that has run a task is listed until it is
-    /// gone, once the list's lag has passed.
+    /// Drops the machines that the inventory lacks.
     fn drop_unlisted_machines(&mut self) {
-        let Some(completed_at) = self.addresses.completed_at() else { return };
+        let Some(read_at) = self.addresses.complete_read_at() else { return };
         let lag = self.settings.inventory_lag * 2 + Duration::from_secs(1);
-        let is_gone = |(machine, cancelled_at): &(&MachineName, Duration)| {
-            completed_at >= *cancelled_at + lag && self.addresses.get(machine).is_none()
-        };
-        let gone: Vec<MachineName> =
-            self.tasks.machines().filter(is_gone).map(|(machine, _)| machine.clone()).collect();
-        gone.iter().for_each(|machine| self.tasks.machine_released(machine));
+        let addresses = &self.addresses;
+        self.tasks.drop_unlisted(read_at, lag, |machine| addresses.get(machine).is_some());
     }
 
     fn inspect_machines(&mut self, now: Duration, effects: &mut EffectSink) {
         let suspects = self.suspects(now);
-        let Some(first) = suspects.first() else { return };
-        if let Some(request) = self.addresses.next_read(first, now) {
-            effects.call_cloud(CallPurpose::Reclaim(ReclaimCall::ListInstances), request);
+        if self.needs_inventory(&suspects, now) {
+            self.read_inventory(now, effects);
         }
         for machine in suspects {
             let Some(address) = self.addresses.get(&machine) else { continue };
@@ -234,6 +230,23 @@
         }
     }
 
+    fn read_inventory(&mut self, now: Duration, effects: &mut EffectSink) {
+        let first = self.tasks.machines().next().map(|(machine, _)| machine);
+        if let Some(request) = first.and_then(|first| self.addresses.next_read(first, now)) {
+            effects.call_cloud(CallPurpose::Reclaim(ReclaimCall::ListInstances), request);
+        }
+    }
+
+    /// Returns whether to read the inventory: an address is missing, or a machine may have to be returned
+    /// and the cloud's latest reply is old. Reads share the cloud's rate limit with the leader's calls.
+    fn needs_inventory(&self, suspects: &[MachineName], now: Duration) -> bool {
+        let is_reply_old =
+            self.addresses.replied_at().is_none_or(|at| now.saturating_sub(at) > CLOUD_TEST_INTERVAL);
+        suspects.iter().any(|machine| {
+            self.addresses.get(machine).is_none() || is_reply_old && self.inspections.is_unresponsive(machine)
+        })
+    }
+
     /// Reads a key of the state service if a reclaim is due. Only the failure of this read permits the
     /// reclaim, in the step in which it becomes known.
     fn test_store(&mut self, now: Duration, peers: PeerClaims, effects: &mut EffectSink) {
@@ -286,7 +299,7 @@
         let last = rows.last().map(|row| row.key.clone());
         if let Some(rows) = self.tasks.page_read(&id, rows, truncated) {
             match stored_attempts(&rows) {
-                Ok(attempts) => self.tasks.add_attempts(&id, attempts),
+                Ok(attempts) => self.tasks.add_attempts(&id, attempts, now),
                 Err(error) => {
                     effects.log(LogLevel::Error, format!("placements unreadable: job={id} reason={error}"));
                 }
--- a/crates/plankhead-core/src/reclaim/tasks.rs
+++ b/crates/plankhead-core/src/reclaim/tasks.rs
@@ -44,6 +44,8 @@
 pub struct CancelledTasks {
     jobs: BTreeMap<JobId, CancelledJob>,
     by_machine: BTreeMap<MachineName, Vec<CancelledAttempt>>,
+    /// When the latest attempt on each machine became known to this node.
+    known_at: BTreeMap<MachineName, Duration>,
 }
 
 impl CancelledTasks {
@@ -55,10 +57,15 @@
 
     /// Adds an attempt of a cancelled job. It is not added if the job's placements are still being read,
     /// and all placements of its job must be added in the same way.
-    pub fn add_known_attempt(&mut self, machine: MachineName, attempt: CancelledAttempt) {
+    pub fn add_known_attempt(&mut self, machine: MachineName, attempt: CancelledAttempt, now: Duration) {
         let CancelledAttempt { task, cancelled_at, .. } = &attempt;
         let job = CancelledJob { cancelled_at: *cancelled_at, placements: Placements::Known };
         self.jobs.insert(task.job.clone(), job);
+        self.add_attempt(machine, attempt, now);
+    }
+
+    fn add_attempt(&mut self, machine: MachineName, attempt: CancelledAttempt, now: Duration) {
+        self.known_at.insert(machine.clone(), now);
         self.by_machine.entry(machine).or_default().push(attempt);
     }
 
@@ -79,6 +86,7 @@
     pub fn clear(&mut self) {
         self.jobs.clear();
         self.by_machine.clear();
+        self.known_at.clear();
     }
 
     /// Returns the number of cancelled jobs, and of their attempts.
@@ -120,16 +128,15 @@
     }
 
     /// Adds the attempts that were read of a job. A job without any is removed.
-    pub fn add_attempts(&mut self, id: &JobId, attempts: BTreeMap<u32, StoredAttempt>) {
-        let Some(job) = self.jobs.get(id) else { return };
+    pub fn add_attempts(&mut self, id: &JobId, attempts: BTreeMap<u32, StoredAttempt>, now: Duration) {
+        let Some(cancelled_at) = self.jobs.get(id).map(|job| job.cancelled_at) else { return };
         if attempts.is_empty() {
             self.jobs.remove(id);
             return;
         }
         for (index, StoredAttempt { number, machine, incarnation }) in attempts {
             let task = TaskId { job: id.clone(), index };
-            let attempt = CancelledAttempt { task, number, incarnation, cancelled_at: job.cancelled_at };
-            self.by_machine.entry(machine).or_default().push(attempt);
+            self.add_attempt(machine, CancelledAttempt { task, number, incarnation, cancelled_at }, now);
         }
     }
 
@@ -155,6 +162,25 @@
     /// Drops the attempts on a machine that the cloud has taken back.
     pub fn machine_released(&mut self, machine: &MachineName) {
         self.by_machine.remove(machine);
+        self.known_at.remove(machine);
+    }
+
+    /// Drops the machines that a read of the inventory, which began at `read_at`, does not list. A machine
+    /// that has run a task is listed until it is gone, once the inventory's `lag` since the cancellation has
+    /// passed. A read that began before this node knew of an attempt may not have looked for the machine.
+    pub fn drop_unlisted(
+        &mut self,
+        read_at: Duration,
+        lag: Duration,
+        is_listed: impl Fn(&MachineName) -> bool,
+    ) {
+        let is_gone = |(machine, cancelled_at): &(&MachineName, Duration)| {
+            let looked_for = self.known_at.get(*machine).is_some_and(|known_at| read_at > *known_at);
+            looked_for && read_at >= *cancelled_at + lag && !is_listed(machine)
+        };
+        let gone: Vec<MachineName> =
+            self.machines().filter(is_gone).map(|(machine, _)| machine.clone()).collect();
+        gone.iter().for_each(|machine| self.machine_released(machine));
     }
 
     fn retain_attempts(&mut self, keep: impl Fn(&MachineName, &CancelledAttempt) -> bool) {
@@ -162,6 +188,8 @@
             attempts.retain(|attempt| keep(machine, attempt));
             !attempts.is_empty()
         });
+        let by_machine = &self.by_machine;
+        self.known_at.retain(|machine, _| by_machine.contains_key(machine));
     }
 
     /// Returns whether an attempt of a cancelled job may be on the machine.
