--- a/crates/plankhead-core/src/calls.rs
+++ b/crates/plankhead-core/src/calls.rs
@@ -4,7 +4,7 @@
 //! caller's module to tell replies apart.
 
 use crate::jobs::job::{JobId, JobRecord};
-use crate::protocol::{MachineName, Pool, RequestId, Response, TaskId};
+use crate::protocol::{MachineName, Pool, RequestId, Response};
 use plankhead_fencing::intent::IdempotencyKey;
 use plankhead_fencing::record::PageId;
 use plankhead_sharding::registry::RecordWrite;
@@ -26,6 +26,8 @@
     Leader(u64, LeaderCall),
     /// A call of the reachability subsystem.
     Reachability(ReachabilityCall),
+    /// Asks whether the leader's key is still held in the term with this token.
+    VerifyTerm { token: u64 },
     /// A read or a watch of the shard records.
     ShardRecords(KeyWatchCall),
     /// A call of a holder of shards.
@@ -152,7 +154,7 @@
     /// Reads or watches the job records.
     WatchJobs(KeyWatchCall),
     /// Sends commands directly to a worker.
-    SendCommands(SentCommands),
+    SendCommands { machine: MachineName },
     /// Sends the leader with this fencing token a status with updates of these machines.
     ReportStatus { leader: u64, machines: Vec<MachineName> },
 }
@@ -174,15 +176,6 @@
     Inspect { machine: MachineName, sent: Duration },
 }
 
-/// Commands that were sent directly to a worker.
-#[derive(Debug, Clone, PartialEq)]
-pub struct SentCommands {
-    pub machine: MachineName,
-    pub incarnation: u64,
-    /// The tasks that the commands start, each with its attempt.
-    pub starts: Vec<(TaskId, u64)>,
-}
-
 /// The purpose of a leader's call.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LeaderCall {
@@ -221,7 +214,7 @@
     /// Reads a page of intents again after its write had an unknown outcome.
     ReadIntents { page: PageId, sent: Duration },
     /// Sends commands directly to a worker.
-    SendCommands { machine: MachineName, incarnation: u64, starts: Vec<(TaskId, u64)> },
+    SendCommands { machine: MachineName },
     /// Inspects a worker. `sent` is when the call was sent.
     Inspect { machine: MachineName, sent: Duration },
     /// Writes shard records.
--- a/crates/plankhead-core/src/fleet/machine.rs
+++ b/crates/plankhead-core/src/fleet/machine.rs
@@ -5,6 +5,7 @@
 use crate::fleet::response_tracking::ResponseTracking;
 use crate::placement::backfill::Slot;
 use crate::protocol::{CommandReply, Heartbeat, MachineName, Pool, TaskId, WorkerCommand};
+use crate::token_range::WorkerTokens;
 use std::collections::VecDeque;
 use std::fmt;
 use std::sync::Arc;
@@ -209,11 +210,6 @@
         self.last_heartbeat.as_ref().is_some_and(is_listed)
     }
 
-    /// Returns whether a direct start of the attempt may still be carried out.
-    pub fn has_unconfirmed_start(&self, task: &TaskId, attempt: u64) -> bool {
-        self.commands.has_unconfirmed_start(task, attempt)
-    }
-
     /// Returns whether a direct command may be sent to the worker. A worker whose heartbeats are
     /// relayed by a peer receives none: the path from this node to the worker is assumed to be cut
     /// too, and the network might hold the command and deliver it much later.
@@ -221,17 +217,29 @@
         !self.commands.in_flight && !self.address.is_empty() && self.removal.is_none() && !self.is_relayed
     }
 
-    /// Records that a direct command with these starts is being sent, and returns the address to
-    /// send it to.
-    pub fn begin_command(&mut self, starts: &[(TaskId, u64)]) -> Arc<str> {
-        let incarnation = self.incarnation().unwrap_or_default();
-        self.commands.begin(starts, incarnation);
-        self.address.clone()
+    /// Records that a direct command is being sent, given the base token for the machine. Returns the
+    /// address and the token to send it under.
+    pub fn begin_command(&mut self, base_token: u64, has_starts: bool) -> (Arc<str>, u64) {
+        let token = self.commands.token(base_token);
+        self.commands.begin(token, has_starts);
+        (self.address.clone(), token)
+    }
+
+    /// Handles the outcome of a direct command.
+    pub fn end_command(&mut self, reply: &CommandReply) {
+        self.commands.end(reply);
+    }
+
+    /// Forgets under which tokens starts were sent directly, because another role of this node may have
+    /// sent some.
+    pub fn forget_direct_starts(&mut self) {
+        self.commands.forget_direct_starts();
     }
 
-    /// Handles the outcome of a direct command with these starts.
-    pub fn end_command(&mut self, incarnation: u64, starts: &[(TaskId, u64)], reply: &CommandReply) {
-        self.commands.end(starts, incarnation, reply);
+    /// Chooses the token for the answer to a heartbeat, and removes the acknowledgements from `commands`
+    /// that may not be sent yet.
+    pub fn choose_token(&mut self, tokens: WorkerTokens, commands: &mut Vec<WorkerCommand>) -> u64 {
+        self.commands.choose_token(tokens, commands)
     }
 
     /// Returns whether to redirect the worker to another node, and records the redirect. A worker is
@@ -276,7 +284,7 @@
                 && last.tasks == heartbeat.tasks
         });
         if self.incarnation() != Some(heartbeat.incarnation) {
-            self.begin_incarnation(heartbeat.incarnation, is_first, now);
+            self.begin_incarnation(is_first, now);
         }
         if self.responses.check_effects(heartbeat) {
             self.removal.get_or_insert(RemovalReason::IgnoresCommands);
@@ -306,13 +314,12 @@
     }
 
     /// Resets the state of the previous incarnation, of which the worker has kept nothing.
-    fn begin_incarnation(&mut self, incarnation: u64, is_first: bool, now: Duration) {
+    fn begin_incarnation(&mut self, is_first: bool, now: Duration) {
         // A worker begins a new incarnation when its lease expires. If a response was sent so recently
         // that it should have renewed the lease, the responses do not reach the worker.
         if !is_first && self.responses.should_have_renewed_lease(now) {
             self.removal.get_or_insert(RemovalReason::IgnoresCommands);
         }
-        self.commands.drop_earlier_incarnations(incarnation);
         self.responses.clear_expected_effects();
         self.cached_images.clear();
         self.cached_slot = None;
--- a/crates/plankhead-core/src/fleet/mod.rs
+++ b/crates/plankhead-core/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 mod removed_machines;
 mod response_tracking;
 
-pub use command_tracking::CommandTracking;
+pub use command_tracking::{AcknowledgementWait, CommandTracking};
 pub use heartbeat_times::HeartbeatTimes;
 pub use machine::{HeartbeatChange, HeartbeatId, InventoryTracking, Machine, RemovalReason};
 pub use response_tracking::ResponseTracking;
@@ -211,6 +211,18 @@
         }
     }
 
+    /// Returns for `GET /view` on how many machines ends wait to be acknowledged, by what they wait for.
+    pub fn acknowledgements_view(&self) -> serde_json::Value {
+        let waiting = |wait| {
+            let waits = self.machines.values().filter_map(|machine| machine.commands.acknowledgement_wait);
+            waits.filter(|found| *found == wait).count()
+        };
+        serde_json::json!({
+            "commandInFlight": waiting(AcknowledgementWait::CommandInFlight),
+            "laterToken": waiting(AcknowledgementWait::LaterToken),
+        })
+    }
+
     /// Records that the holder of the machine's shard received an unchanged heartbeat at `at`. Has no
     /// effect on a machine that is not confirmed.
     pub fn observe_alive(&mut self, name: &str, at: Duration) {
--- a/crates/plankhead-core/src/holder/commands.rs
+++ b/crates/plankhead-core/src/holder/commands.rs
@@ -1,7 +1,7 @@
 //! The commands that a holder sends to the workers of its shards.
 
 use super::{Holder, HolderEvidence, ShardEpoch};
-use crate::calls::{CallPurpose, HolderCall, SentCommands};
+use crate::calls::{CallPurpose, HolderCall};
 use crate::effects::EffectSink;
 use crate::fleet::Machine;
 use crate::protocol::{
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// The maximum number of commands in one answer to a worker, whose lines must stay below 64 KiB.
-const MAX_COMMANDS: usize = 300;
+pub(super) const MAX_COMMANDS: usize = 300;
 
 /// The leader's commands for a machine in one incarnation of its worker.
 #[derive(Debug)]
@@ -47,23 +47,20 @@
         let Some(epoch) = self.shard_of.get(name).and_then(|shard| self.epoch(shard, now)) else { return };
         let Some(machine) = self.fleet.machines.get(name) else { return };
         let Some(incarnation) = machine.incarnation().filter(|_| machine.takes_commands()) else { return };
-        let commands: Vec<WorkerCommand> = self.unsent_commands(machine, read_times, now);
+        let mut commands: Vec<WorkerCommand> = self.unsent_commands(machine, read_times, now);
+        commands.truncate(MAX_COMMANDS);
         if commands.is_empty() {
             return;
         }
-        let start = |command: &WorkerCommand| match command {
-            WorkerCommand::Run { task, attempt } => Some((task.clone(), *attempt)),
-            _ => None,
-        };
-        let starts: Vec<(TaskId, u64)> = commands.iter().filter_map(start).collect();
+        let has_starts = commands.iter().any(|command| matches!(command, WorkerCommand::Run { .. }));
         let Some(shard) = self.shard_of.get(name) else { return };
         let entry =
             self.commands.entry(name.clone()).or_insert_with(|| PendingCommands::new(shard, incarnation));
         entry.sent.extend(commands.iter().filter_map(WorkerCommand::expected_effect));
         let Some(machine) = self.fleet.machines.get_mut(name) else { return };
-        let address = machine.begin_command(&starts);
-        let call = HolderCall::SendCommands(SentCommands { machine: name.clone(), incarnation, starts });
-        effects.send_commands(CallPurpose::Holder(call), address, epoch, incarnation, commands);
+        let (address, token) = machine.begin_command(epoch, has_starts);
+        let call = HolderCall::SendCommands { machine: name.clone() };
+        effects.send_commands(CallPurpose::Holder(call), address, token, incarnation, commands);
     }
 
     /// Returns the starts and kills that are still to be sent directly to the worker. All others are
@@ -88,9 +85,7 @@
         commands.into_iter().filter(is_unsent).collect()
     }
 
-    /// Returns the commands that are due for a machine, according to its latest heartbeat. The end of an
-    /// attempt is not acknowledged while a directly sent start may still arrive: the worker forgets an
-    /// acknowledged attempt and would start it again.
+    /// Returns the commands that are due for a machine, according to its latest heartbeat.
     pub(super) fn commands_for(
         &self,
         name: &MachineName,
@@ -106,13 +101,11 @@
                     && !self.jobs.is_cancelled(&task.job)
                     && !machine.lists_attempt(task, *attempt)
             }
-            WorkerCommand::Kill { .. } => true,
-            WorkerCommand::Acknowledge { task, attempt } => !machine.has_unconfirmed_start(task, *attempt),
+            WorkerCommand::Kill { .. } | WorkerCommand::Acknowledge { .. } => true,
         };
         let pending = entry.into_iter().flat_map(|entry| &entry.pending);
         let mut commands: Vec<WorkerCommand> = pending.filter(is_due).cloned().collect();
         self.add_kills_for_cancelled_jobs(heartbeat, &mut commands);
-        commands.truncate(MAX_COMMANDS);
         commands
     }
 
@@ -159,14 +152,13 @@
     pub fn handle_command_reply(
         &mut self,
         now: Duration,
-        sent: SentCommands,
+        name: MachineName,
         reply: CommandReply,
         evidence: HolderEvidence,
         effects: &mut EffectSink,
     ) {
-        let SentCommands { machine: name, incarnation, starts } = sent;
         let Some(machine) = self.fleet.machines.get_mut(&name) else { return };
-        machine.end_command(incarnation, &starts, &reply);
+        machine.end_command(&reply);
         if !matches!(reply, CommandReply::Answered(_)) {
             self.status.unreported.insert(name.clone());
         }
@@ -216,10 +208,9 @@
             };
             let Some(machine) = self.fleet.machines.get_mut(&name) else { continue };
             let Some(incarnation) = machine.incarnation() else { continue };
-            let address = machine.begin_command(&[]);
-            let sent = SentCommands { machine: name, incarnation, starts: Vec::new() };
-            let purpose = CallPurpose::Holder(HolderCall::SendCommands(sent));
-            effects.send_commands(purpose, address, epoch, incarnation, Vec::new());
+            let (address, token) = machine.begin_command(epoch, false);
+            let purpose = CallPurpose::Holder(HolderCall::SendCommands { machine: name });
+            effects.send_commands(purpose, address, token, incarnation, Vec::new());
         }
     }
 }
--- a/crates/plankhead-core/src/holder/mod.rs
+++ b/crates/plankhead-core/src/holder/mod.rs
@@ -23,6 +23,7 @@
 use held_shards::HeldShard;
 use plankhead_sharding::read_times::ReadTimes;
 use plankhead_sharding::shard::ShardId;
+use plankhead_sharding::table::ShardTable;
 use reporting::StatusStream;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -164,7 +165,7 @@
         if !read_times.may_renew_leases(now, settings.worker_lease, settings.cancel_within) {
             return Response::Unavailable { retry_after: RETRY_AFTER };
         }
-        let commands = self.commands_for(&heartbeat.machine, read_times, now);
+        let mut commands = self.commands_for(&heartbeat.machine, read_times, now);
         let Some(machine) =
             self.fleet.machines.get_mut(&heartbeat.machine).filter(|_| change != HeartbeatChange::Stale)
         else {
@@ -175,8 +176,10 @@
         if machine.take_redirect(path.node_is_disconnected, self.settings.worker_lease, now) {
             return Response::Redirect { host: None };
         }
+        let token = machine.choose_token(path.tokens, &mut commands);
+        commands.truncate(commands::MAX_COMMANDS);
         machine.record_response(&commands, now);
-        Response::Commands { token: epoch, commands }
+        Response::Commands { token, commands }
     }
 
     /// Records a heartbeat. `is_reply` is true if it answers a command of this node.
@@ -262,6 +265,12 @@
         update
     }
 
+    /// Resumes the role after this node has led, and may have sent starts to the same machines.
+    pub fn resume(&mut self, table: &ShardTable, effects: &mut EffectSink) {
+        self.fleet.machines.values_mut().for_each(Machine::forget_direct_starts);
+        self.apply_records(table, effects);
+    }
+
     /// Returns the machines known to this node, for the leader role when the node becomes the leader.
     pub fn machines(&self) -> impl Iterator<Item = &Machine> {
         self.fleet.machines.values()
--- a/crates/plankhead-core/src/holder/view.rs
+++ b/crates/plankhead-core/src/holder/view.rs
@@ -18,6 +18,7 @@
             })
             .collect();
         serde_json::json!({"shards": shards, "refused": self.refused,
+            "acknowledgementsWaiting": self.fleet.acknowledgements_view(),
             "jobsSeenS": self.jobs.synced_at().map(|at| now.saturating_sub(at).as_secs_f64())})
     }
 }
--- a/crates/plankhead-core/src/key_watch.rs
+++ b/crates/plankhead-core/src/key_watch.rs
@@ -68,6 +68,11 @@
         self.synced_at.is_none() && !self.last_read_failed
     }
 
+    /// Returns the revision up to which all changes of the keys are known, or `None` until they are listed.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
     /// Returns when [`KeyWatch::tick`] has its next call, or `None` while a call is in flight.
     pub fn next_due(&self) -> Option<Duration> {
         (!self.call_in_flight).then_some(self.next_call_at)
--- a/crates/plankhead-core/src/leader/commands.rs
+++ b/crates/plankhead-core/src/leader/commands.rs
@@ -15,7 +15,7 @@
 
 /// The maximum number of commands in one response to a worker, which keeps a response line below
 /// 64 KiB.
-const MAX_COMMANDS_PER_RESPONSE: usize = 300;
+pub(super) const MAX_COMMANDS_PER_RESPONSE: usize = 300;
 /// The longest grace period that a stopped task gets to write a checkpoint.
 const MAX_CHECKPOINT_GRACE: Duration = Duration::from_secs(10);
 
@@ -35,14 +35,8 @@
         for ReportedTask { task, attempt, status } in heartbeat.tasks.iter() {
             let attempt = *attempt;
             if matches!(status, TaskStatus::Exited(_)) {
-                // The worker forgets an acknowledged attempt, so a direct `run` that is still in
-                // flight would start the attempt again.
-                let unconfirmed = machine.has_unconfirmed_start(task, attempt);
                 let job_ended = !self.job_table.jobs.contains_key(&task.job) && requests.is_ended(&task.job);
-                if may_acknowledge
-                    && !unconfirmed
-                    && (job_ended || self.job_table.may_acknowledge(task, attempt))
-                {
+                if may_acknowledge && (job_ended || self.job_table.may_acknowledge(task, attempt)) {
                     commands.push(WorkerCommand::Acknowledge { task: task.clone(), attempt });
                 }
             } else if let Some(grace) =
@@ -55,7 +49,6 @@
         commands.extend(
             self.due_starts(now, machine).map(|(task, attempt)| WorkerCommand::Run { task, attempt }),
         );
-        commands.truncate(MAX_COMMANDS_PER_RESPONSE);
         commands
     }
 
@@ -177,14 +170,14 @@
             return;
         }
         let mut commands = self.kill_commands(&kills);
-        let token = self.token_for(machine_name);
-        commands.extend(self.run_commands(&starts, token));
+        let base_token = self.token_for(machine_name);
+        commands.extend(self.run_commands(&starts, base_token));
         if !starts.is_empty() {
             self.log_first_start(now, effects);
         }
         let Some(machine) = self.fleet.machines.get_mut(machine_name) else { return };
-        let address = machine.begin_command(&starts);
-        let leader_call = LeaderCall::SendCommands { machine: machine_name.clone(), incarnation, starts };
+        let (address, token) = machine.begin_command(base_token, !starts.is_empty());
+        let leader_call = LeaderCall::SendCommands { machine: machine_name.clone() };
         effects.send_commands(
             CallPurpose::Leader(self.token, leader_call),
             address,
@@ -221,7 +214,7 @@
         commands
     }
 
-    /// Builds the commands for these starts and marks them as sent.
+    /// Builds the commands for these starts and marks them as sent under this base token.
     fn run_commands(&mut self, starts: &[(TaskId, u64)], token: u64) -> Vec<WorkerCommand> {
         let mut commands = Vec::with_capacity(starts.len());
         for (task, attempt) in starts {
@@ -243,7 +236,7 @@
         }
     }
 
-    /// Records which attempts the worker is told to start, and under which fencing token.
+    /// Records which attempts the worker is told to start, and under which base token.
     pub(super) fn record_offered_starts(&mut self, commands: &[WorkerCommand], token: u64) {
         for command in commands {
             if let WorkerCommand::Run { task, .. } = command {
--- a/crates/plankhead-core/src/leader/heartbeats.rs
+++ b/crates/plankhead-core/src/leader/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Handling of worker heartbeats: updating the leader's state and building the response.
 
+use super::commands::MAX_COMMANDS_PER_RESPONSE;
 use super::Leader;
 use crate::effects::{EffectSink, StepTime};
 use crate::fleet::{Fleet, HeartbeatChange, Machine, RemovalReason};
@@ -58,12 +59,12 @@
         }
         let name = heartbeat.machine.clone();
         let change = self.observe_machine(times, &heartbeat, false, effects);
-        let token = self.token_for(&name);
-        let commands = self.commands_for(now, &name, requests);
+        let base_token = self.token_for(&name);
+        let mut commands = self.commands_for(now, &name, requests);
         let Some(machine) = self.fleet.machines.get_mut(&name).filter(|_| change != HeartbeatChange::Stale)
         else {
             // A late copy of a heartbeat gets no commands and is no sign of life.
-            return Response::Commands { token, commands: Vec::new() };
+            return Response::Commands { token: base_token, commands: Vec::new() };
         };
         machine.is_relayed = path.relayed;
         if !path.relayed {
@@ -72,8 +73,10 @@
         if machine.take_redirect(path.node_is_disconnected, self.settings.worker_lease, now) {
             return Response::Redirect { host: None };
         }
+        let token = machine.choose_token(path.tokens, &mut commands);
+        commands.truncate(MAX_COMMANDS_PER_RESPONSE);
         machine.record_response(&commands, now);
-        self.record_offered_starts(&commands, token);
+        self.record_offered_starts(&commands, base_token);
         Response::Commands { token, commands }
     }
 
@@ -88,6 +91,8 @@
     ) -> HeartbeatChange {
         let is_up = |fleet: &Fleet| fleet.machines.get(&heartbeat.machine).is_some_and(Machine::is_up);
         let was_up = is_up(&self.fleet);
+        let machine = self.fleet.machines.get(&heartbeat.machine);
+        let previous = machine.and_then(|machine| machine.last_heartbeat.clone());
         let change = match is_command_reply {
             true => self.fleet.observe_command_reply(heartbeat, self.token, times.now),
             false => self.fleet.observe_heartbeat(heartbeat, self.token, times.now),
@@ -96,6 +101,9 @@
             self.placement.request_pass();
         }
         if change != HeartbeatChange::Stale && self.loading.is_ready() {
+            if let Some(previous) = previous.filter(|_| change == HeartbeatChange::Changed) {
+                self.report_restarted_attempts(&previous, heartbeat, effects);
+            }
             self.observe_tasks(times, heartbeat, change, effects);
         }
         change
@@ -112,7 +120,10 @@
         let now = times.now;
         let HeartbeatOutcome { ended, missing } = match change {
             HeartbeatChange::Changed => {
-                self.job_table.observe_heartbeat(heartbeat, heartbeat.token >= self.token, now)
+                let fence = self.fencing_base(heartbeat);
+                let token = fence.unwrap_or(heartbeat.token);
+                let fenced = Heartbeat { token, ..heartbeat.clone() };
+                self.job_table.observe_heartbeat(&fenced, fence.is_some(), now)
             }
             _ => Default::default(),
         };
--- a/crates/plankhead-core/src/leader/machine_checks.rs
+++ b/crates/plankhead-core/src/leader/machine_checks.rs
@@ -213,14 +213,11 @@
             .fleet
             .machines_to_probe(now, self.settings.heartbeat_timeout(), |machine| self.is_own_machine(machine))
         {
-            let token = self.token_for(&name);
+            let base_token = self.token_for(&name);
             let Some(machine) = self.fleet.machines.get_mut(&name) else { continue };
             let Some(incarnation) = machine.incarnation() else { continue };
-            let address = machine.begin_command(&[]);
-            let call = CallPurpose::Leader(
-                self.token,
-                LeaderCall::SendCommands { machine: name, incarnation, starts: Vec::new() },
-            );
+            let (address, token) = machine.begin_command(base_token, false);
+            let call = CallPurpose::Leader(self.token, LeaderCall::SendCommands { machine: name });
             effects.send_commands(call, address, token, incarnation, Vec::new());
         }
     }
--- a/crates/plankhead-core/src/leader/mod.rs
+++ b/crates/plankhead-core/src/leader/mod.rs
@@ -4,6 +4,7 @@
 
 mod arrivals;
 mod commands;
+mod ended_attempts;
 mod evidence;
 mod garbage;
 mod heartbeats;
@@ -99,6 +100,9 @@
     rechunk_pending: bool,
     /// Whether any start command has been sent in this term.
     first_start_sent: bool,
+    /// The number of attempts that workers began to list again in this term after their ends had become
+    /// durable.
+    ended_attempts_restarted: u64,
     next_maintenance_at: Duration,
     next_lateness_scan_at: Duration,
 }
@@ -121,6 +125,7 @@
             all_nodes_upgraded: false,
             rechunk_pending: false,
             first_start_sent: false,
+            ended_attempts_restarted: 0,
             next_maintenance_at: now,
             target: TargetState::default(),
             sizing: SizingRounds::new(now),
--- a/crates/plankhead-core/src/leader/replies.rs
+++ b/crates/plankhead-core/src/leader/replies.rs
@@ -82,15 +82,15 @@
         reply: CommandReply,
         effects: &mut EffectSink,
     ) {
-        let (name, incarnation, starts) = match leader_call {
-            LeaderCall::SendCommands { machine, incarnation, starts } => (machine, incarnation, starts),
+        let name = match leader_call {
+            LeaderCall::SendCommands { machine } => machine,
             LeaderCall::Inspect { machine, sent } => {
                 return self.inspections.end(&machine, sent, &reply, times.now);
             }
             _ => return,
         };
         let Some(machine) = self.fleet.machines.get_mut(&name) else { return };
-        machine.end_command(incarnation, &starts, &reply);
+        machine.end_command(&reply);
         if let CommandReply::Answered(heartbeat) = reply {
             if heartbeat.machine == name {
                 self.observe_machine(times, &heartbeat, true, effects);
--- a/crates/plankhead-core/src/leader/shards/commands.rs
+++ b/crates/plankhead-core/src/leader/shards/commands.rs
@@ -1,5 +1,6 @@
 //! Commands for machines that the leader sends to the holders of their shards.
 
+use super::super::commands::MAX_COMMANDS_PER_RESPONSE;
 use super::super::Leader;
 use super::{Peer, SentCommands, ShardHolder};
 use crate::calls::{CallPurpose, LeaderCall, SentShardCommands};
@@ -218,7 +219,8 @@
         let machine_shard = self.shard_of(machine)?;
         let shard = held.iter().position(|(shard, _)| *shard == machine_shard)?;
         let incarnation = machine.incarnation()?;
-        let commands = self.commands_for(now, name, requests);
+        let mut commands = self.commands_for(now, name, requests);
+        commands.truncate(MAX_COMMANDS_PER_RESPONSE);
         Some(MachineCommands { machine: name.clone(), shard, incarnation, commands })
     }
 
--- a/crates/plankhead-core/src/leader/shards/mod.rs
+++ b/crates/plankhead-core/src/leader/shards/mod.rs
@@ -34,9 +34,10 @@
         epoch: u64,
     },
     /// The worker knows a token above every epoch known to this leader. It may be the epoch of a shard
-    /// record that was written although the leader does not know the outcome of the write.
+    /// record that was written although the leader does not know the outcome of the write, a later
+    /// revision that the machine's holder uses as its token, or the token of a later leader.
     HolderUnknown,
-    /// The worker knows the token of a later leader.
+    /// The worker knows the token of a later leader. Without sharding, no other node uses later tokens.
     Superseded,
 }
 
@@ -158,14 +159,34 @@
         held.filter(|(holder, _)| *holder == self.settings.host).map_or(self.token, |(_, epoch)| epoch)
     }
 
+    /// Returns the base token under which the machine's worker is commanded in this term: the epoch of its
+    /// shard, or this leader's token while no holder is named.
+    pub fn base_token(&self, heartbeat: &Heartbeat) -> u64 {
+        self.named_epoch(heartbeat).unwrap_or(self.token)
+    }
+
+    /// Returns the epoch of the machine's shard if its holder was named in this term.
+    fn named_epoch(&self, heartbeat: &Heartbeat) -> Option<u64> {
+        let shards = self.shards.as_ref()?;
+        let shard = shards.registry.shard_of(&heartbeat.zone, &heartbeat.machine);
+        shards.registry.holder(&shard).map(|(_, epoch)| epoch)
+    }
+
+    /// Returns the highest base token of this term such that the worker refuses all commands under lower
+    /// ones, or `None` if the worker has seen no token of this term. A token between two bases may have
+    /// been used by the holder under the lower base, which may use it again.
+    pub(in crate::leader) fn fencing_base(&self, heartbeat: &Heartbeat) -> Option<u64> {
+        let epoch = self.named_epoch(heartbeat).filter(|epoch| heartbeat.token >= *epoch);
+        epoch.or((heartbeat.token >= self.token).then_some(self.token))
+    }
+
     /// Returns which node answers a heartbeat.
     pub fn route(&self, heartbeat: &Heartbeat) -> LeaderRoute {
         let Some(shards) = &self.shards else {
             return if heartbeat.token <= self.token { LeaderRoute::Own } else { LeaderRoute::Superseded };
         };
         if heartbeat.token > shards.registry.highest_epoch() {
-            let is_uncertain = shards.registry.has_uncertain_writes();
-            return if is_uncertain { LeaderRoute::HolderUnknown } else { LeaderRoute::Superseded };
+            return LeaderRoute::HolderUnknown;
         }
         let shard = shards.registry.shard_of(&heartbeat.zone, &heartbeat.machine);
         match self.other_holder(&shard) {
--- a/crates/plankhead-core/src/leader/view.rs
+++ b/crates/plankhead-core/src/leader/view.rs
@@ -156,6 +156,8 @@
             "jobsSyncedAgoS": now.saturating_sub(self.job_watch.synced_at()).as_secs_f64(),
             "lateOrStuck": jobs,
             "gangsWaiting": gangs,
+            "acknowledgementsWaiting": self.fleet.acknowledgements_view(),
+            "endedAttemptsRestarted": self.ended_attempts_restarted,
             "fencing": self.intents.view(),
             "sharding": self.shards_view(now),
         })
--- a/crates/plankhead-core/src/leadership/election.rs
+++ b/crates/plankhead-core/src/leadership/election.rs
@@ -5,6 +5,7 @@
 use crate::effects::EffectSink;
 use crate::leadership::LeaderId;
 use crate::protocol::{CallError, Condition, KeyValue, KvChange, KvReply, KvRequest, LogLevel, WatchEvent};
+use crate::token_range::TermEvidence;
 use plankhead_reachability::handover::SUCCESSOR_HEADSTART;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -50,9 +51,9 @@
 enum KeyState {
     /// The key must be read.
     Unknown,
-    /// Another node, or an earlier term of this one, holds the key. Changes after `revision` are
-    /// watched.
-    HeldByOther { revision: u64 },
+    /// Another node, or an earlier term of this one, holds the key since the revision `token`. Changes
+    /// after `revision` are watched.
+    HeldByOther { token: u64, revision: u64 },
     /// No node holds the key, so this node tries to acquire it.
     Vacant { since: Duration },
     /// This node holds the key and leads.
@@ -133,6 +134,15 @@
         self.term().map(|term| term.token)
     }
 
+    /// Returns the term that another node, or an earlier term of this one, is known to hold, and the
+    /// revision at which it was seen to hold it.
+    pub fn observed_term(&self) -> Option<TermEvidence> {
+        match self.key {
+            KeyState::HeldByOther { token, revision } => Some(TermEvidence { token, in_force_at: revision }),
+            _ => None,
+        }
+    }
+
     /// Whether this node leads and has renewed its lease within the lease's duration. Otherwise its
     /// writes are expected to fail.
     pub fn is_lease_valid(&self, now: Duration) -> bool {
@@ -161,7 +171,7 @@
             KeyState::Held(term) => return term.renew_if_due(now, effects),
             _ if !can_call => return,
             KeyState::Unknown => (ElectionCall::Read, KvRequest::Get { key: KEY.into() }),
-            KeyState::HeldByOther { revision } => {
+            KeyState::HeldByOther { revision, .. } => {
                 let request = KvRequest::Watch { prefix: KEY.into(), after: *revision, wait: WATCH_TIMEOUT };
                 (ElectionCall::Watch, request)
             }
@@ -239,7 +249,7 @@
                 _ => {}
             }
         }
-        if let KeyState::HeldByOther { revision: watched } = &mut self.key {
+        if let KeyState::HeldByOther { revision: watched, .. } = &mut self.key {
             *watched = (*watched).max(revision);
         }
         change
@@ -295,6 +305,7 @@
         };
         let Ok(record) = serde_json::from_str::<LeaderRecord>(&row.value) else {
             effects.log(LogLevel::Error, "leader key unreadable: reason=malformed".into());
+            self.key = KeyState::Unknown;
             self.retry_at = now + RETRY_INTERVAL;
             return LeadershipChange::Unchanged;
         };
@@ -309,7 +320,7 @@
         } else {
             self.known_leader = Some(LeaderId { token: row.mod_revision, host: record.host });
         }
-        self.key = KeyState::HeldByOther { revision: row.mod_revision };
+        self.key = KeyState::HeldByOther { token: row.mod_revision, revision: row.mod_revision };
         LeadershipChange::Unchanged
     }
 
--- a/crates/plankhead-core/src/lib.rs
+++ b/crates/plankhead-core/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod shards;
 pub mod sizing;
 pub mod token_bucket;
+pub mod token_range;
--- a/crates/plankhead-core/src/node/heartbeats.rs
+++ b/crates/plankhead-core/src/node/heartbeats.rs
@@ -6,6 +6,7 @@
 use crate::holder::ShardEpoch;
 use crate::leader::LeaderRoute;
 use crate::protocol::{Heartbeat, HeartbeatPath, MachineName, RequestId, Response};
+use crate::token_range::WorkerTokens;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -33,7 +34,7 @@
 #[derive(Debug)]
 pub(super) struct DeferredHeartbeat {
     request: RequestId,
-    heartbeat: Heartbeat,
+    pub heartbeat: Heartbeat,
     relayed: bool,
     pub deadline: Duration,
 }
@@ -90,6 +91,9 @@
         heartbeat: Heartbeat,
         relayed: bool,
     ) {
+        if self.awaits_term_check(&heartbeat) {
+            self.verify_term(times.now);
+        }
         if self.deferred_heartbeats.len() < MAX_DEFERRED_HEARTBEATS && self.must_defer(&heartbeat, times.now)
         {
             let timeout = if relayed { RELAYED_DEFERRAL_TIMEOUT } else { DEFERRAL_TIMEOUT };
@@ -101,13 +105,15 @@
         self.effects.respond(request, response);
     }
 
-    fn handle_heartbeat(&mut self, times: StepTime, heartbeat: Heartbeat, relayed: bool) -> Response {
+    fn handle_heartbeat(&mut self, times: StepTime, mut heartbeat: Heartbeat, relayed: bool) -> Response {
         let now = times.now;
-        // With sharding, a heartbeat may carry the epoch of the machine's shard instead of a leader's
-        // token. The epoch is higher than the leader's token and applies to no other shard, so the
-        // guard must not take it for the token of a later leader.
+        let range = self.token_range(&heartbeat);
+        let tokens = WorkerTokens { range, seen_by_worker: heartbeat.token };
+        heartbeat.token = range.base_of(heartbeat.token);
+        // With sharding, a worker's token applies to one shard, so the guard must not compare it with the
+        // tokens of leaders.
         if self.sharding.is_none() {
-            self.token_guard.observe(heartbeat.token);
+            self.token_guard.report(heartbeat.token);
         }
         self.record_link_evidence(&heartbeat, relayed, now);
         self.reclaimer.observe_heartbeat(&heartbeat);
@@ -118,7 +124,7 @@
                     return leader.handle_heartbeat(
                         times,
                         heartbeat,
-                        HeartbeatPath { relayed, node_is_disconnected },
+                        HeartbeatPath { tokens, relayed, node_is_disconnected },
                         &self.requests,
                         &mut self.effects,
                     );
@@ -136,7 +142,7 @@
             let change = self.election.step_down();
             self.apply_leadership(times, change);
         }
-        self.handle_heartbeat_as_follower(times, heartbeat, relayed)
+        self.handle_heartbeat_as_follower(times, heartbeat, tokens, relayed)
     }
 
     /// Answers a heartbeat as the holder of the machine's shard, or redirects the worker to the
@@ -145,12 +151,13 @@
         &mut self,
         times: StepTime,
         heartbeat: Heartbeat,
+        tokens: WorkerTokens,
         relayed: bool,
     ) -> Response {
         let now = times.now;
         match self.holder_route(&heartbeat, now) {
             HolderRoute::Own(shard_epoch) => {
-                return self.handle_heartbeat_as_holder(times, &heartbeat, shard_epoch, relayed);
+                return self.handle_heartbeat_as_holder(times, &heartbeat, shard_epoch, tokens, relayed);
             }
             HolderRoute::Other { host, epoch } => {
                 let holder = RedirectTarget { host, token: epoch };
@@ -195,19 +202,23 @@
         times: StepTime,
         heartbeat: &Heartbeat,
         shard_epoch: ShardEpoch,
+        tokens: WorkerTokens,
         relayed: bool,
     ) -> Response {
         let now = times.now;
         let evidence = self.holder_evidence(now);
         let node_is_disconnected = self.is_holder_disconnected(evidence, now);
         let Some(sharding) = &mut self.sharding else { return Response::Redirect { host: None } };
-        let path = HeartbeatPath { relayed, node_is_disconnected };
+        let path = HeartbeatPath { tokens, relayed, node_is_disconnected };
         sharding.holder.handle_heartbeat(times, heartbeat, shard_epoch, path, evidence)
     }
 
     /// Whether a heartbeat must be deferred, because the leader or holder on this node that answers
-    /// it is still loading its state.
+    /// it is still loading its state, or because the worker's token may belong to a later term.
     fn must_defer(&self, heartbeat: &Heartbeat, now: Duration) -> bool {
+        if self.awaits_term_check(heartbeat) {
+            return true;
+        }
         if let Some(leader) = &self.leader {
             return leader.is_loading() && matches!(leader.route(heartbeat), LeaderRoute::Own);
         }
@@ -231,6 +242,9 @@
             deferred.into_iter().partition(|deferred| {
                 times.now < deferred.deadline && self.must_defer(&deferred.heartbeat, times.now)
             });
+        if waiting.iter().any(|deferred| self.awaits_term_check(&deferred.heartbeat)) {
+            self.verify_term(times.now);
+        }
         self.deferred_heartbeats = waiting;
         for DeferredHeartbeat { request, heartbeat, relayed, .. } in due {
             let response = self.handle_heartbeat(times, heartbeat, relayed);
--- a/crates/plankhead-core/src/node/leadership.rs
+++ b/crates/plankhead-core/src/node/leadership.rs
@@ -21,6 +21,7 @@
 
     fn start_leading(&mut self, times: StepTime, token: u64) {
         self.token_guard.observe(token);
+        self.record_term(token, token);
         self.effects.log(LogLevel::Info, format!("leadership won: token={token}"));
         let mut leader = Leader::new(self.settings.clone(), token, times.now);
         leader.set_machine_types(self.machine_types.by_name().clone());
--- a/crates/plankhead-core/src/node/mod.rs
+++ b/crates/plankhead-core/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod reclaim;
 mod replies;
 mod shards;
+mod tokens;
 mod view;
 
 use crate::effects::{EffectSink, StepTime};
@@ -25,6 +26,7 @@
 use crate::requests::{RequestHandler, Submission, SubmissionContext};
 use crate::settings::Settings;
 use crate::sizing::cpu_budget::CpuBudget;
+use crate::token_range::TermEvidence;
 use heartbeats::{DeferredHeartbeat, RedirectedWorkers};
 use kv_health::KvHealth;
 use machine_types::MachineTypeList;
@@ -34,6 +36,7 @@
 use shards::Sharding;
 use std::sync::Arc;
 use std::time::Duration;
+use tokens::TermCheck;
 
 /// How long this node's calls to the state service must have been failing before the node may report
 /// itself as unhealthy.
@@ -70,6 +73,9 @@
     deferred_heartbeats: Vec<DeferredHeartbeat>,
     /// Tracks the highest fencing token seen.
     token_guard: TokenGuard,
+    /// The latest leader's term, and how far it is known to have been in force.
+    term_evidence: TermEvidence,
+    term_check: TermCheck,
     /// How late the process's timers fire.
     timer_lag: Duration,
     next_reachability_check_at: Duration,
@@ -105,6 +111,8 @@
             redirected_workers: RedirectedWorkers::default(),
             deferred_heartbeats: Vec::new(),
             token_guard: TokenGuard::default(),
+            term_evidence: TermEvidence::default(),
+            term_check: TermCheck::default(),
             timer_lag: Duration::ZERO,
             next_reachability_check_at: Duration::ZERO,
             reachability: None,
@@ -161,6 +169,7 @@
             self.version_barrier.next_due(),
             self.machine_types.next_due(),
             self.deferred_heartbeats.iter().map(|deferred| deferred.deadline).min(),
+            self.next_term_check_due(),
             self.requests.has_queued().then_some(retry),
             self.leader.as_ref().map(|leader| leader.next_due(now, retry)),
             self.reachability.as_ref().map(|reachability| reachability.next_due(now)),
--- a/crates/plankhead-core/src/node/replies.rs
+++ b/crates/plankhead-core/src/node/replies.rs
@@ -32,6 +32,7 @@
         match self.effects.calls_in_flight.remove(&call) {
             Some(CallPurpose::Election(call)) => {
                 let change = self.election.handle_reply(now, call, reply, &mut self.effects);
+                self.record_observed_term();
                 self.apply_leadership(times, change);
             }
             Some(CallPurpose::VersionBarrier(call)) => {
@@ -44,6 +45,7 @@
                 }
             }
             Some(CallPurpose::UserRequest(request)) => self.handle_user_request_reply(times, request, reply),
+            Some(CallPurpose::VerifyTerm { token }) => self.handle_term_reply(times, token, reply),
             Some(CallPurpose::ShardRecords(call)) => self.handle_shard_records_reply(now, call, reply),
             Some(CallPurpose::Holder(call)) => self.handle_holder_kv_reply(times, call, reply),
             Some(CallPurpose::Reclaim(call)) => self.handle_reclaim_kv_reply(times, call, reply),
@@ -81,6 +83,10 @@
         call: LeaderCall,
         reply: Result<KvReply, CallError>,
     ) {
+        // Every transaction of a leader is conditional on its key.
+        if let Ok(KvReply::Committed { revision }) = &reply {
+            self.record_term(token, *revision);
+        }
         let Some(leader) = leader_of_term(&mut self.leader, token) else { return };
         let status = leader.handle_kv_reply(times, call, reply, &mut self.requests, &mut self.effects);
         if status == TermStatus::Over {
@@ -143,10 +149,13 @@
         }
     }
 
-    pub(super) fn handle_command_reply(&mut self, times: StepTime, call: CallId, reply: CommandReply) {
+    pub(super) fn handle_command_reply(&mut self, times: StepTime, call: CallId, mut reply: CommandReply) {
         if let Some(reachability) = &mut self.reachability {
             reachability.record_command_reply(call, &reply, times.now);
         }
+        if let CommandReply::Answered(heartbeat) = &mut reply {
+            heartbeat.token = self.token_range(heartbeat).base_of(heartbeat.token);
+        }
         match self.effects.calls_in_flight.remove(&call) {
             Some(CallPurpose::Leader(token, call)) => {
                 if let Some(leader) = leader_of_term(&mut self.leader, token) {
--- a/crates/plankhead-core/src/node/shards.rs
+++ b/crates/plankhead-core/src/node/shards.rs
@@ -164,9 +164,11 @@
         reply: CommandReply,
     ) {
         let evidence = self.holder_evidence(now);
-        let (Some(sharding), HolderCall::SendCommands(sent)) = (&mut self.sharding, call) else { return };
+        let (Some(sharding), HolderCall::SendCommands { machine }) = (&mut self.sharding, call) else {
+            return;
+        };
         if self.leader.is_none() {
-            sharding.holder.handle_command_reply(now, sent, reply, evidence, &mut self.effects);
+            sharding.holder.handle_command_reply(now, machine, reply, evidence, &mut self.effects);
         }
     }
 
@@ -217,7 +219,7 @@
     /// this node.
     pub(super) fn resume_holder_role(&mut self) {
         if let Some(sharding) = &mut self.sharding {
-            sharding.holder.apply_records(&sharding.records.table, &mut self.effects);
+            sharding.holder.resume(&sharding.records.table, &mut self.effects);
         }
     }
 
--- a/crates/plankhead-core/src/protocol/worker.rs
+++ b/crates/plankhead-core/src/protocol/worker.rs
@@ -1,6 +1,7 @@
 //! Heartbeats of workers, and the commands that workers carry out.
 
 use crate::jobs::job::JobId;
+use crate::token_range::WorkerTokens;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -138,6 +139,8 @@
 /// How a heartbeat reached this node, and how well connected this node is.
 #[derive(Debug, Clone, Copy)]
 pub struct HeartbeatPath {
+    /// The tokens for the answer.
+    pub tokens: WorkerTokens,
     /// Whether a peer relayed the heartbeat, since the worker can't reach this node.
     pub relayed: bool,
     /// Whether the state service does not answer this node in time and all peers are silent, so that
--- a/crates/plankhead-core/src/shards/records.rs
+++ b/crates/plankhead-core/src/shards/records.rs
@@ -4,8 +4,9 @@
 use crate::effects::EffectSink;
 use crate::key_watch::{KeyUpdate, KeyWatch};
 use crate::protocol::{CallError, KeyValue, KvReply, LogLevel, WatchEvent};
+use crate::token_range::{TermEvidence, TokenRange};
 use plankhead_sharding::shard::PREFIX;
-use plankhead_sharding::table::ShardTable;
+use plankhead_sharding::table::{KnownRecord, ShardTable};
 use std::time::Duration;
 
 /// The time for which one watch waits for changes. A watch that returns shows that all changes from before
@@ -20,6 +21,9 @@
     watch: KeyWatch,
     /// The keys in the pages of the current list that have been read so far.
     listed_keys: Vec<String>,
+    /// The highest revision at which the records in `table` are known to have been in force, apart from
+    /// those that were written later.
+    in_force_at: u64,
 }
 
 impl Default for RecordWatch {
@@ -28,6 +32,7 @@
             table: ShardTable::default(),
             watch: KeyWatch::new(PREFIX, WATCH_TIMEOUT),
             listed_keys: Vec::new(),
+            in_force_at: 0,
         }
     }
 }
@@ -39,6 +44,17 @@
         self.watch.synced_at
     }
 
+    /// Returns the tokens that a shard's holder may use for its machines, given the shard's record and what
+    /// is known of the leader's term.
+    pub fn token_range(&self, known: &KnownRecord, term: TermEvidence) -> TokenRange {
+        let epoch = known.epoch();
+        if known.record.term == term.token {
+            TokenRange::new(epoch, self.in_force_at.min(term.in_force_at))
+        } else {
+            TokenRange::only(epoch)
+        }
+    }
+
     /// Returns when [`RecordWatch::tick`] is next due to make a call, or `None` if a call is in flight.
     pub fn next_due(&self) -> Option<Duration> {
         self.watch.next_due()
@@ -60,7 +76,14 @@
         reply: Result<KvReply, CallError>,
         effects: &mut EffectSink,
     ) -> bool {
-        match self.watch.handle_reply(now, call, reply) {
+        let update = self.watch.handle_reply(now, call, reply);
+        let changed = self.apply_update(update, effects);
+        self.in_force_at = self.in_force_at.max(self.watch.revision().unwrap_or(0));
+        changed
+    }
+
+    fn apply_update(&mut self, update: KeyUpdate, effects: &mut EffectSink) -> bool {
+        match update {
             KeyUpdate::Page { rows, complete } => {
                 self.listed_keys.extend(rows.iter().map(|row| row.key.clone()));
                 rows.iter().for_each(|row| self.apply_record(row, effects));
--- /dev/null
+++ b/crates/plankhead-core/src/token_range.rs
@@ -0,0 +1,81 @@
+//! The fencing tokens that a node may use for a machine.
+//!
+//! A term begins with a base token: the revision at which the leader's key was written or, with sharding,
+//! the epoch of the machine's shard. The base was in force at every revision at which the key and the
+//! shard's record were still the same, and a successor's base is a later revision. So the node may use any
+//! such revision as a token, and a higher one makes the worker refuse what was sent under lower ones.
+
+/// Evidence that a leader's key was still held in the same term at a later revision of the state service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TermEvidence {
+    /// The leader's fencing token, or 0 if no term is known.
+    pub token: u64,
+    /// The highest revision at which the term is known to have been in force.
+    pub in_force_at: u64,
+}
+
+impl TermEvidence {
+    /// Records that the term with this token was in force at a revision. Ignores terms before the latest
+    /// known one.
+    pub fn record(&mut self, token: u64, revision: u64) {
+        if token > self.token {
+            *self = Self { token, in_force_at: token };
+        }
+        if token == self.token {
+            self.in_force_at = self.in_force_at.max(revision);
+        }
+    }
+
+    /// Returns the highest revision at which the term with this token is known to have been in force.
+    pub fn in_force_at(&self, token: u64) -> u64 {
+        if token == self.token {
+            self.in_force_at
+        } else {
+            token
+        }
+    }
+}
+
+/// The tokens under which one node, and no other, may command a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenRange {
+    /// The leader's fencing token, or the epoch of the machine's shard.
+    pub base: u64,
+    /// The highest revision at which the base is known to have been in force.
+    pub newest: u64,
+}
+
+impl TokenRange {
+    /// Creates the range of a base that was in force at the revision `newest`.
+    pub fn new(base: u64, newest: u64) -> Self {
+        Self { base, newest: newest.max(base) }
+    }
+
+    /// Creates the range of a base of which nothing later is known.
+    pub fn only(base: u64) -> Self {
+        Self::new(base, base)
+    }
+
+    /// Returns the base for a token in the range, and any other token unchanged.
+    pub fn base_of(&self, token: u64) -> u64 {
+        if self.contains(token) {
+            self.base
+        } else {
+            token
+        }
+    }
+
+    /// Returns whether the token belongs to this range.
+    pub fn contains(&self, token: u64) -> bool {
+        (self.base..=self.newest).contains(&token)
+    }
+}
+
+/// The tokens for the answer to a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkerTokens {
+    /// The tokens that this node may use for the machine.
+    pub range: TokenRange,
+    /// The highest token that the worker has seen, according to the heartbeat as it arrived.
+    pub seen_by_worker: u64,
+}
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -647,3 +647,68 @@
     );
     assert_eq!(text(UnsatisfiableSpec::NoMachineTypeFits), "no allowed machine type can hold a task");
 }
+
+/// Returns the token of the response and its commands.
+fn answer(harness: &NodeHarness, request: RequestId) -> (u64, &[WorkerCommand]) {
+    match harness.response(request) {
+        Some(Response::Commands { token, commands }) => (*token, commands),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A copy of a direct start that is still on its way has no effect once the worker knows a later token.
+#[test]
+fn an_end_is_acknowledged_under_a_token_later_than_its_start() {
+    let mut harness = NodeHarness::new();
+    harness.elect(41);
+    harness.load();
+    let running = harness.send_heartbeat(1, 7);
+    assert_eq!(answer(&harness, running).0, 41);
+    let mut ended = heartbeat(2, 41);
+    let task = TaskId { job: id(), index: 0 };
+    let status = TaskStatus::Exited(ExitReason::Completed);
+    ended.tasks = [ReportedTask { task: task.clone(), attempt: 1, status }].into();
+    let first =
+        harness.send(|request| Event::Heartbeat { request, heartbeat: ended.clone(), relayed: false });
+    assert_eq!(answer(&harness, first), (41, &[][..]), "the end is not durable");
+    harness.run_without_events(ms(300));
+    ended.sequence = 3;
+    let second = harness.send(|request| Event::Heartbeat { request, heartbeat: ended, relayed: false });
+    let (token, commands) = answer(&harness, second);
+    assert!(token > 100, "a transaction was committed at revision {token}");
+    assert_eq!(commands, [WorkerCommand::Acknowledge { task, attempt: 1 }]);
+}
+
+/// A worker may know a later token of the leader than a follower has seen in force.
+#[test]
+fn a_follower_asks_whether_the_term_covers_a_workers_token() {
+    let question = |request: &KvRequest| {
+        matches!(request, KvRequest::Txn { conditions, changes }
+            if changes.is_empty() && conditions[..] == [Condition { key: "lead".into(), mod_revision: 41 }])
+    };
+    let covered = Ok(KvReply::Committed { revision: 60 });
+    let over = Ok(KvReply::Conflict { failed: vec!["lead".into()] });
+    let relayed = Response::Relay { host: "plank-1".into() };
+    let unknown = Response::Redirect { host: None };
+    for (reply, expected) in [(covered, relayed), (over, unknown.clone()), (Err(CallError::Refused), unknown)]
+    {
+        let mut harness = NodeHarness::new();
+        let leader = r#"{"host":"plank-1","boot":3,"hold":9}"#;
+        harness.reply(is_get("lead"), Ok(KvReply::Value(Some(row("lead", leader, 41)))));
+        let request = harness.send_heartbeat(1, 60);
+        assert_eq!(harness.response(request), None);
+        harness.reply(question, reply);
+        assert_eq!(harness.response(request), Some(&expected));
+    }
+}
+
+/// Without an answer of the state service, the worker goes on to another node in time.
+#[test]
+fn a_heartbeat_waits_only_briefly_for_a_check_of_the_term() {
+    let mut harness = NodeHarness::new();
+    let leader = r#"{"host":"plank-1","boot":3,"hold":9}"#;
+    harness.reply(is_get("lead"), Ok(KvReply::Value(Some(row("lead", leader, 41)))));
+    let request = harness.send_heartbeat(1, 60);
+    harness.advance(ms(2600));
+    assert_eq!(harness.response(request), Some(&Response::Redirect { host: None }));
+}
--- a/crates/plankhead-core/tests/world/effects.rs
+++ b/crates/plankhead-core/tests/world/effects.rs
@@ -89,7 +89,9 @@
                 t.delayed_commands,
                 t.duplicate_heartbeats,
                 t.duplicates_for_next_leader,
-            ) = (0.0, false, 0.0, 0.0, 0.0);
+                t.repeated_commands,
+                t.repeats_after_changes,
+            ) = (0.0, false, 0.0, 0.0, 0.0, 0.0, 0.0);
         }
         let Some(effect) = self.apply_link_cuts(actor, effect) else { return };
         match effect {
--- a/crates/plankhead-core/tests/world/events.rs
+++ b/crates/plankhead-core/tests/world/events.rs
@@ -368,6 +368,7 @@
         self.paused_until[node] = Duration::ZERO;
         self.backlog[node].clear();
         self.schedule_in(ms(1), SimEvent::Tick { node, boot });
+        self.deliver_kept_commands();
     }
 
     fn crash_node(&mut self, node: usize) {
@@ -473,6 +474,7 @@
                 self.terms += 1;
                 self.inherited_intents += self.open_intents();
                 self.deliver_kept_heartbeats();
+                self.deliver_kept_commands();
                 self.trigger(Trigger::LeaderElected);
             }
             _ => {}
--- a/crates/plankhead-core/tests/world/faults.rs
+++ b/crates/plankhead-core/tests/world/faults.rs
@@ -52,6 +52,12 @@
     pub duplicates_for_next_leader: f64,
     /// The share of direct commands and of messages about shards that are delayed by seconds.
     pub delayed_commands: f64,
+    /// The share of direct commands that arrive at the worker again after it has carried them out and
+    /// answered.
+    pub repeated_commands: f64,
+    /// The share of direct commands, carried out and answered, that arrive again when the next leader is
+    /// elected, the next holder of a shard is named or the next node starts.
+    pub repeats_after_changes: f64,
     /// The share of jobs that are cancelled within 400 ms after their last task ends.
     pub cancel_at_end: f64,
     /// Users send requests to all nodes within milliseconds after they learn that a job was
--- a/crates/plankhead-core/tests/world/kv.rs
+++ b/crates/plankhead-core/tests/world/kv.rs
@@ -139,7 +139,8 @@
             return Ok(KvReply::Conflict { failed });
         }
         assert!(conditions.len() <= 4 * txn_ops, "transaction exceeds the limits");
-        self.revision += 1;
+        // Without changes, a transaction only compares.
+        self.revision += u64::from(!changes.is_empty());
         for change in changes {
             match change {
                 KvChange::Put { key, value, lease } => {
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -13,6 +13,7 @@
 mod jobs;
 mod kv;
 mod network;
+mod repeats;
 mod requests;
 mod script;
 pub mod shards;
@@ -26,7 +27,7 @@
 use kv::Kv;
 use plankhead_core::jobs::job::JobId;
 use plankhead_core::node::Node;
-use plankhead_core::protocol::{Event, Heartbeat, MachineName, RequestId};
+use plankhead_core::protocol::{Event, Heartbeat, MachineName, RequestId, TaskId};
 use plankhead_reachability::permission::PermissionTable;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -35,7 +36,7 @@
 #[allow(unused_imports)]
 pub use script::{Fault, InvalidRequest, Trigger};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::time::Duration;
 use worker::Worker;
 
@@ -106,6 +107,14 @@
     scripts: Vec<script::Script>,
     /// Copies of heartbeats that are delivered when the next leader is elected.
     kept_heartbeats: Vec<Heartbeat>,
+    /// Copies of direct commands that are delivered after the next change of leader, holder or process.
+    kept_commands: Vec<SimEvent>,
+    /// The attempts that each machine has forgotten after an acknowledgement, with the incarnation.
+    acknowledged: BTreeSet<(MachineName, u64, TaskId, u64)>,
+    /// The number of starts of attempts that had been acknowledged on the same machine.
+    pub acknowledged_restarts: u32,
+    /// The number of copies of direct commands that reached their workers.
+    pub repeated_commands: u32,
     /// Whether calls stop being lost, slow, delayed or duplicated once the last planned fault is
     /// over.
     pub stop_call_faults: bool,
@@ -215,6 +224,10 @@
             log: std::env::var_os("WORLD_LOG").is_some(),
             scripts: Vec::new(),
             kept_heartbeats: Vec::new(),
+            kept_commands: Vec::new(),
+            acknowledged: BTreeSet::new(),
+            acknowledged_restarts: 0,
+            repeated_commands: 0,
             zone_cut_until: BTreeMap::new(),
             lists_refused_until: Duration::ZERO,
             stop_call_faults: false,
--- a/crates/plankhead-core/tests/world/shards.rs
+++ b/crates/plankhead-core/tests/world/shards.rs
@@ -180,6 +180,9 @@
         }
         let before = self.shard_holders.insert(key.to_owned(), record.holder.clone());
         self.shard_moves += u32::from(before.is_some_and(|before| before != record.holder));
+        if record.moving.is_none() {
+            self.deliver_kept_commands();
+        }
         self.trigger(if record.moving.is_some() { Trigger::MoveStarted } else { Trigger::HolderAssigned });
     }
 }
--- a/crates/plankhead-core/tests/world/worker.rs
+++ b/crates/plankhead-core/tests/world/worker.rs
@@ -2,6 +2,7 @@
 
 use super::deployment::{ms, secs};
 use super::events::SimEvent;
+use super::repeats::DirectCommands;
 use super::requests::PendingRequest;
 use super::script::Trigger;
 use super::{cuts, World, SIM_START};
@@ -395,15 +396,21 @@
             return self.schedule_in(held - now, late);
         }
         worker.expire_lease(now);
+        let is_copy = boot == 0;
         if token >= worker.token && incarnation == worker.incarnation {
             worker.token = token;
-            for command in commands {
+            self.repeated_commands += u32::from(is_copy);
+            for command in commands.clone() {
                 self.execute_command(&machine, command);
             }
+            if !is_copy && !commands.is_empty() {
+                let sent = DirectCommands { machine: machine.clone(), token, incarnation, commands };
+                self.repeat_commands(node, call, sent);
+            }
         }
         let Some(worker) = self.workers.get_mut(&machine) else { return };
         let heartbeat = worker.heartbeat(now);
-        if boot != 0 {
+        if !is_copy {
             let event = Event::CommandReply { call, reply: CommandReply::Answered(heartbeat) };
             self.schedule_in(ms(1), SimEvent::DeliverToNode { node, boot, event });
         }
@@ -430,6 +437,7 @@
                 worker.tasks.insert(key, status);
                 let incarnation = worker.incarnation;
                 if status == TaskStatus::FetchingImage {
+                    self.count_acknowledged_restart(machine, incarnation, &task, attempt);
                     let fetch_time = self.random_ms(0, 1500);
                     self.schedule_in(
                         fetch_time,
@@ -459,6 +467,8 @@
                 let key = (task, attempt);
                 if matches!(worker.tasks.get(&key), Some(TaskStatus::Exited(_))) {
                     worker.tasks.remove(&key);
+                    let incarnation = worker.incarnation;
+                    self.acknowledged.insert((machine.clone(), incarnation, key.0, key.1));
                 }
             }
         }
--- a/crates/plankhead-fencing/tests/intents.rs
+++ b/crates/plankhead-fencing/tests/intents.rs
@@ -296,6 +296,21 @@
     assert_eq!(guard.admit(51), Ok(()));
 }
 
+/// A token that a worker reports may be a later one of the current term.
+#[test]
+fn a_reported_token_counts_unless_the_term_was_in_force_then() {
+    let mut guard = TokenGuard::default();
+    assert_eq!(guard.admit(41), Ok(()));
+    guard.report(60);
+    assert_eq!(guard.admit(41), Err(StaleToken { given: 41, highest: 60 }));
+    guard.record_term(59);
+    assert_eq!(guard.highest(), 60);
+    guard.record_term(60);
+    assert_eq!((guard.highest(), guard.admit(41)), (41, Ok(())));
+    guard.report(61);
+    assert_eq!(guard.highest(), 61);
+}
+
 /// A model of the state service, which holds pages with their revisions.
 #[derive(Default)]
 struct Store {
