--- a/crates/plankhead-standins/src/answer_history.rs
+++ b/crates/plankhead-standins/src/answer_history.rs
@@ -35,6 +35,9 @@
     Answered { job: String, tasks: u64, status: JobAnswer },
     /// An attempt started or ended on the worker of machine number `host`.
     Attempt { task: String, host: usize, event: AttemptEvent },
+    /// The worker of machine number `host` was told to start an attempt that it had forgotten after an
+    /// acknowledgement in the same session.
+    StartedAfterAcknowledgement { task: String, attempt: u64, host: usize },
 }
 
 /// The events of a run, in the order in which they were added.
@@ -146,6 +149,10 @@
                     done.entry(job).or_default().insert(task);
                 }
             }
+            Event::StartedAfterAcknowledgement { task, attempt, host } => {
+                let fault = format!("{task} attempt {attempt} started again on {host} after its end");
+                verdict.faults.push(fault);
+            }
         }
     }
     for (name, job) in &jobs {
--- a/crates/plankhead-standins/src/lib.rs
+++ b/crates/plankhead-standins/src/lib.rs
@@ -102,6 +102,18 @@
     /// Maximum delay in seconds before the cloud carries out a rental or a return.
     #[arg(long, default_value_t = 0.0)]
     pub cloud_delay_s: f64,
+    /// Share of the direct commands of which a copy reaches the worker again after it was answered.
+    #[arg(long, default_value_t = 0.0)]
+    pub repeated_commands: f64,
+    /// Maximum delay in seconds of these copies.
+    #[arg(long, default_value_t = 20.0)]
+    pub repeat_delay_s: f64,
+    /// Share of the attempts that fail.
+    #[arg(long, default_value_t = 0.0)]
+    pub failed: f64,
+    /// Seed for the choice of copies, their delays and the failing attempts.
+    #[arg(long, default_value_t = 1)]
+    pub worker_seed: u64,
     /// Minimum delay in seconds before the cloud carries out a rental or a return.
     #[arg(long, default_value_t = 0.0)]
     pub cloud_delay_least_s: f64,
--- a/crates/plankhead-standins/src/shard_move_faults.rs
+++ b/crates/plankhead-standins/src/shard_move_faults.rs
@@ -38,6 +38,8 @@
     pub verdict: Verdict,
     pub kills: u32,
     pub pauses: u32,
+    /// The number of copies of direct commands that reached their workers.
+    pub repeated_commands: u64,
     /// The number of shard moves between nodes that the nodes logged.
     pub moves: usize,
 }
@@ -70,7 +72,8 @@
     }
     let timeout = Duration::from_secs_f64(args.finish_timeout_s);
     let verdict = environment.finish(running, load, timeout).await?;
-    Ok(Outcome { verdict, kills, pauses, moves: environment.cluster.count_logged(SHARD_MOVED_LINE) })
+    let moves = environment.cluster.count_logged(SHARD_MOVED_LINE);
+    Ok(Outcome { verdict, kills, pauses, repeated_commands: environment.counts.repeated_commands(), moves })
 }
 
 /// Kills the process of a node, and starts a new one after `downtime`.
--- a/crates/plankhead-standins/src/workers.rs
+++ b/crates/plankhead-standins/src/workers.rs
@@ -10,9 +10,10 @@
 use hyper::header::HOST;
 use hyper::{Method, Request};
 use plankhead::http::{self, Client, Reply};
-use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -60,10 +61,42 @@
     counts: Arc<RequestCounts>,
     history: Arc<AnswerHistory>,
     lease_duration: Duration,
+    faults: Mutex<WorkerFaults>,
     /// The rented workers, by IP address.
     by_address: Mutex<HashMap<String, Arc<Worker>>>,
 }
 
+/// The choice of direct commands that arrive again, and of attempts that fail.
+#[derive(Debug)]
+struct WorkerFaults {
+    random: StdRng,
+    repeated_commands: f64,
+    longest_delay: Duration,
+    failed: f64,
+}
+
+impl WorkerFaults {
+    fn new(args: &LoadArgs) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(args.worker_seed),
+            repeated_commands: args.repeated_commands,
+            longest_delay: Duration::from_secs_f64(args.repeat_delay_s),
+            failed: args.failed,
+        }
+    }
+
+    /// Returns after which time a copy of the next direct command arrives, if one does.
+    fn next_repeat(&mut self) -> Option<Duration> {
+        let is_repeated = self.random.random_bool(self.repeated_commands);
+        let delay = self.longest_delay.mul_f64(self.random.random_range(0.0..1.0));
+        is_repeated.then_some(delay)
+    }
+
+    fn next_attempt_fails(&mut self) -> bool {
+        self.random.random_bool(self.failed)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Worker {
     number: usize,
@@ -78,6 +111,8 @@
     Fetching(Instant),
     /// The attempt runs until this time.
     Running(Instant),
+    /// The attempt runs until this time, and then fails.
+    Failing(Instant),
     /// The attempt has ended for this cause.
     Ended(&'static str),
 }
@@ -94,6 +129,8 @@
     lease_renewed_at: Option<Instant>,
     /// The attempts on this worker, by task and attempt number.
     tasks: BTreeMap<(String, u64), TaskState>,
+    /// The attempts that the worker has forgotten in this session after an acknowledgement.
+    acknowledged: BTreeSet<(String, u64)>,
 }
 
 impl Workers {
@@ -118,6 +155,7 @@
             counts,
             history,
             lease_duration: Duration::from_secs_f64(args.lease_s),
+            faults: Mutex::new(WorkerFaults::new(args)),
             by_address: Mutex::default(),
         };
         if let Some(commands) = commands {
@@ -146,6 +184,10 @@
         });
     }
 
+    fn faults(&self) -> std::sync::MutexGuard<'_, WorkerFaults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn record_attempt(&self, number: usize, task: &str, event: AttemptEvent) {
         self.history.add(Event::Attempt { task: task.into(), host: number, event });
     }
@@ -165,6 +207,7 @@
             let sent_at = Instant::now();
             let body = worker.heartbeat(self.command_ports[node], self).to_string().into_bytes();
             self.counts.add(RequestKind::Heartbeat);
+            self.counts.record_heartbeat_size(body.len());
             let response = client.call(Method::POST, "/agent/beat", body, REQUEST_TIMEOUT).await;
             let parsed = response.ok().and_then(|(status, body)| {
                 Some((status.as_u16(), serde_json::from_slice::<Value>(&body).ok()?))
@@ -206,10 +249,21 @@
     let Some(worker) = worker else { return Reply::error(404, "no such machine") };
     worker.execute_commands(&body, &workers);
     worker.changed.notify_one();
+    if let Some(delay) = workers.faults().next_repeat() {
+        tokio::spawn(repeat_command(workers.clone(), worker.clone(), body, delay));
+    }
     let heartbeat = worker.heartbeat(workers.port, &workers);
     Reply { status: 200, body: heartbeat.to_string().into_bytes(), retry_after: None }
 }
 
+/// Delivers a copy of a direct command after this time.
+async fn repeat_command(workers: Arc<Workers>, worker: Arc<Worker>, body: Value, delay: Duration) {
+    tokio::time::sleep(delay).await;
+    workers.counts.add(RequestKind::RepeatedCommand);
+    worker.execute_commands(&body, &workers);
+    worker.changed.notify_one();
+}
+
 impl Worker {
     fn inner(&self) -> std::sync::MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
@@ -232,7 +286,9 @@
         inner.advance(Instant::now(), self.number, workers);
         let describe_task = |((task, attempt), state): (&(String, u64), &TaskState)| match state {
             TaskState::Fetching(_) => json!({"piece": task, "try": attempt, "status": "pulling"}),
-            TaskState::Running(_) => json!({"piece": task, "try": attempt, "status": "running"}),
+            TaskState::Running(_) | TaskState::Failing(_) => {
+                json!({"piece": task, "try": attempt, "status": "running"})
+            }
             TaskState::Ended(cause) => {
                 json!({"piece": task, "try": attempt, "status": "ended", "cause": cause})
             }
@@ -269,6 +325,11 @@
             let attempt_key = (task, command["try"].as_u64().unwrap_or_default());
             match command["verb"].as_str() {
                 Some("run") => {
+                    if inner.acknowledged.contains(&attempt_key) {
+                        let (task, attempt) = attempt_key.clone();
+                        let host = self.number;
+                        workers.history.add(Event::StartedAfterAcknowledgement { task, attempt, host });
+                    }
                     let fetching = TaskState::Fetching(Instant::now() + IMAGE_FETCH_TIME);
                     inner.tasks.entry(attempt_key).or_insert(fetching);
                 }
@@ -278,14 +339,16 @@
                         .get_mut(&attempt_key)
                         .filter(|state| !matches!(state, TaskState::Ended(_)))
                     {
-                        if matches!(state, TaskState::Running(_)) {
+                        if matches!(state, TaskState::Running(_) | TaskState::Failing(_)) {
                             workers.record_attempt(self.number, &attempt_key.0, AttemptEvent::Stopped);
                         }
                         *state = TaskState::Ended("stopped");
                     }
                 }
                 _ => {
-                    inner.tasks.remove(&attempt_key);
+                    if inner.tasks.remove(&attempt_key).is_some() {
+                        inner.acknowledged.insert(attempt_key);
+                    }
                 }
             }
         }
@@ -295,7 +358,7 @@
 impl Inner {
     fn next_change(&self) -> Option<Instant> {
         let change_time = |state: &TaskState| match state {
-            TaskState::Fetching(at) | TaskState::Running(at) => Some(*at),
+            TaskState::Fetching(at) | TaskState::Running(at) | TaskState::Failing(at) => Some(*at),
             TaskState::Ended(_) => None,
         };
         self.tasks.values().filter_map(change_time).min()
@@ -309,7 +372,7 @@
 
     fn drop_tasks(&mut self, history: &AnswerHistory, number: usize) {
         for ((task, _), state) in std::mem::take(&mut self.tasks) {
-            if matches!(state, TaskState::Running(_)) {
+            if matches!(state, TaskState::Running(_) | TaskState::Failing(_)) {
                 history.add(Event::Attempt { task, host: number, event: AttemptEvent::Stopped });
             }
         }
@@ -321,6 +384,7 @@
             .is_some_and(|at| now.saturating_duration_since(at) > workers.lease_duration);
         if expired {
             self.drop_tasks(&workers.history, number);
+            self.acknowledged.clear();
             self.expired_sessions += 1;
             self.lease_renewed_at = None;
         }
@@ -328,13 +392,21 @@
             match *state {
                 TaskState::Fetching(at) if at <= now => {
                     let job = task.split('/').next().unwrap_or_default();
-                    *state = TaskState::Running(now + workers.workload.run_time(job));
+                    let ends_at = now + workers.workload.run_time(job);
+                    *state = match workers.faults().next_attempt_fails() {
+                        true => TaskState::Failing(ends_at),
+                        false => TaskState::Running(ends_at),
+                    };
                     workers.record_attempt(number, task, AttemptEvent::Started);
                 }
                 TaskState::Running(at) if at <= now => {
                     *state = TaskState::Ended("done");
                     workers.record_attempt(number, task, AttemptEvent::Done);
                 }
+                TaskState::Failing(at) if at <= now => {
+                    *state = TaskState::Ended("error");
+                    workers.record_attempt(number, task, AttemptEvent::Stopped);
+                }
                 _ => {}
             }
         }
