Reclaimer: its view and its reads of placements in files of their own; small leftovers

The lines that were logged for a machine are forgotten with the machine. Zones that may be cut off are found only when a worker leaves inspections unanswered, no longer over the whole fleet in every check. Two comments say what the code does.

--- a/crates/plankhead-core/src/leader/machine_checks.rs
+++ b/crates/plankhead-core/src/leader/machine_checks.rs
@@ -12,6 +12,7 @@
 use crate::reclaim::tasks::CancelledAttempt;
 use plankhead_reachability::mode::Mode;
 use plankhead_reachability::permission::Action;
+use std::cell::LazyCell;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -115,8 +116,8 @@
         }
     }
 
-    /// Returns the machines with attempts of cancelled jobs that were neither reported nor offered in
-    /// this term, and that are not being removed. Empty once workers have had time to send heartbeats.
+    /// Returns the unconfirmed machines with attempts of cancelled jobs that were neither reported nor
+    /// offered in this term. Empty once workers have had time to send heartbeats.
     fn unheard_machines(&self, now: Duration) -> BTreeSet<MachineName> {
         if self.workers_had_time(now) {
             return BTreeSet::new();
@@ -171,7 +172,7 @@
     /// when all machines hang. A machine whose worker does not answer inspections is reclaimed earlier if
     /// `silence_counts`, unless its zone may be cut off from this node.
     fn machines_to_reclaim(&self, now: Duration, silence_counts: bool) -> Vec<MachineName> {
-        let cut_off_zones = self.fleet.cut_off_zones(now, &self.settings);
+        let cut_off_zones = LazyCell::new(|| self.fleet.cut_off_zones(now, &self.settings));
         let is_lost = |machine: &MachineName| {
             let found = self.fleet.machines.get(machine);
             silence_counts
--- a/crates/plankhead-core/src/reclaim/mod.rs
+++ b/crates/plankhead-core/src/reclaim/mod.rs
@@ -9,13 +9,13 @@
 pub mod addresses;
 pub mod deadlines;
 pub mod inspections;
+mod placements;
+mod reporting;
 pub mod tasks;
 
 use crate::calls::{CallPurpose, KeyWatchCall, ReclaimCall};
 use crate::effects::{EffectSink, StepTime};
 use crate::job_watch::{CancelledJob, JobUpdate, JobWatch};
-use crate::jobs::chunk::stored_attempts;
-use crate::jobs::job::JobId;
 use crate::leadership::election;
 use crate::protocol::{
     CallError, CloudReply, CloudRequest, CommandReply, Heartbeat, KeyValue, KvReply, KvRequest, LogLevel,
@@ -32,10 +32,6 @@
 use std::time::Duration;
 use tasks::{CancelledAttempt, CancelledTasks};
 
-/// The maximum number of reads of placements in flight.
-const MAX_READS_IN_FLIGHT: u32 = 4;
-/// The pause after a failed read of placements.
-const READ_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// The time between two checks of the machines while some reclaim is near.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The time between two reads that test whether the state service answers.
@@ -48,8 +44,6 @@
 /// How long a cancelled job is kept at most. The record of a job that was archived while this node did not
 /// watch the jobs might otherwise be kept forever.
 const MAX_TASK_AGE: Duration = Duration::from_secs(600);
-/// The maximum number of machines that the operators' view lists.
-const MAX_MACHINES_SHOWN: usize = 100;
 
 /// What the reclaimer has done since the process started.
 #[derive(Debug, Clone, Copy, Default)]
@@ -168,6 +162,8 @@
         self.next_check_at = now + CHECK_INTERVAL;
         self.tasks.forget_before(now.saturating_sub(MAX_TASK_AGE));
         self.drop_unlisted_machines();
+        let tasks = &self.tasks;
+        self.logged.retain(|machine| tasks.may_be_on(machine));
         self.inspect_machines(now, effects);
         self.test_store(now, peers, effects);
     }
@@ -175,27 +171,13 @@
     /// Returns when [`Reclaimer::tick`] must be called next, if no event arrives before.
     pub fn next_due(&self) -> Duration {
         let watch = self.watch.as_ref().filter(|_| self.is_following).and_then(JobWatch::next_due);
-        let may_read = self.tasks.has_unread() && self.reads_in_flight < MAX_READS_IN_FLIGHT;
-        let read = may_read.then_some(self.next_read_at);
+        let read = self.next_read_due();
         let first_deadline = self.tasks.machines().map(|(_, cancelled_at)| cancelled_at).min();
         let check = first_deadline
             .map(|cancelled_at| self.next_check_at.max(cancelled_at + inspection_delay(&self.settings)));
         [watch, read, check].into_iter().flatten().min().unwrap_or(Duration::MAX)
     }
 
-    fn read_placements(&mut self, now: Duration, effects: &mut EffectSink) {
-        while now >= self.next_read_at && self.reads_in_flight < MAX_READS_IN_FLIGHT {
-            let Some(id) = self.tasks.begin_read() else { return };
-            self.read_chunks(id, None, effects);
-        }
-    }
-
-    fn read_chunks(&mut self, id: JobId, after: Option<String>, effects: &mut EffectSink) {
-        self.reads_in_flight += 1;
-        let request = KvRequest::List { prefix: id.chunk_prefix(), after };
-        effects.call_kv(CallPurpose::Reclaim(ReclaimCall::ListChunks(id)), request);
-    }
-
     /// Returns when an attempt of a job that was cancelled at this time must be gone.
     fn deadline(&self, cancelled_at: Duration) -> Duration {
         cancelled_at + cancellation_timeout(&self.settings)
@@ -283,32 +265,6 @@
         watch.map(|watch| watch.handle_reply(now, call, reply, requests)).unwrap_or_default()
     }
 
-    /// Handles a page of a cancelled job's chunks.
-    pub fn chunks_read(
-        &mut self,
-        now: Duration,
-        id: JobId,
-        reply: Result<KvReply, CallError>,
-        effects: &mut EffectSink,
-    ) {
-        self.reads_in_flight = self.reads_in_flight.saturating_sub(1);
-        let Ok(KvReply::Page { rows, truncated, .. }) = reply else {
-            self.next_read_at = now + READ_RETRY_INTERVAL;
-            return self.tasks.read_failed(&id);
-        };
-        let last = rows.last().map(|row| row.key.clone());
-        if let Some(rows) = self.tasks.page_read(&id, rows, truncated) {
-            match stored_attempts(&rows) {
-                Ok(attempts) => self.tasks.add_attempts(&id, attempts, now),
-                Err(error) => {
-                    effects.log(LogLevel::Error, format!("placements unreadable: job={id} reason={error}"));
-                }
-            }
-        } else if truncated {
-            self.read_chunks(id, last, effects);
-        }
-    }
-
     /// Requests the return of the machines of which nothing forbids it, now that a read of the state
     /// service, sent at `failed_read_sent_at`, has failed.
     pub fn reclaim(
@@ -333,36 +289,6 @@
         }
     }
 
-    /// Logs each machine once, with the attempt that must be gone and the evidence.
-    fn log_reclaim(
-        &mut self,
-        now: Duration,
-        reclaim: &LeaderlessReclaim,
-        peers: PeerClaims,
-        effects: &mut EffectSink,
-    ) {
-        for machine in reclaim.machines() {
-            let Some(attempt) = self.tasks.first_attempt(machine) else { continue };
-            if !self.logged.insert(machine.clone()) {
-                continue;
-            }
-            let text = format!(
-                "machine reclaimed without a leader: machine={machine} reason=cancellation_due {} \
-                 unanswered={} peers={peers}",
-                self.describe(now, attempt),
-                self.inspections.unanswered(machine),
-            );
-            effects.log(LogLevel::Info, text);
-        }
-    }
-
-    /// Returns the fields of a log line that identify a cancelled attempt and its deadline.
-    fn describe(&self, now: Duration, attempt: &CancelledAttempt) -> String {
-        let CancelledAttempt { task, number, cancelled_at, .. } = attempt;
-        let deadline_in = self.deadline(*cancelled_at).as_secs_f64() - now.as_secs_f64();
-        format!("task={}/{} attempt={number} deadline_in_s={deadline_in:.1}", task.job, task.index)
-    }
-
     fn request_return(&mut self, reclaim: LeaderlessReclaim, effects: &mut EffectSink) {
         self.release_in_flight = true;
         self.counters.requests += 1;
@@ -426,18 +352,4 @@
         let tasks = &self.tasks;
         self.inspections.retain(|machine| tasks.may_be_on(machine));
     }
-
-    /// Returns the JSON object under `reclaim` in the operators' view.
-    pub fn view(&self, now: Duration) -> serde_json::Value {
-        let (jobs, attempts) = self.tasks.counts();
-        let machine = |(machine, cancelled_at): (&MachineName, Duration)| {
-            let deadline = self.deadline(cancelled_at).as_secs_f64();
-            serde_json::json!({"machine": machine.as_ref(), "deadlineInS": deadline - now.as_secs_f64(),
-                "unanswered": self.inspections.unanswered(machine)})
-        };
-        let machines: Vec<_> = self.tasks.machines().take(MAX_MACHINES_SHOWN).map(machine).collect();
-        serde_json::json!({"cancelledJobs": jobs, "attempts": attempts, "machines": machines,
-            "forbidden": self.forbidden.map(|forbidden| forbidden.to_string()),
-            "requests": self.counters.requests, "reclaimed": self.counters.reclaimed})
-    }
 }
--- a/crates/plankhead-core/src/reclaim/tasks.rs
+++ b/crates/plankhead-core/src/reclaim/tasks.rs
@@ -55,8 +55,8 @@
         self.jobs.entry(id).or_insert(job);
     }
 
-    /// Adds an attempt of a cancelled job. It is not added if the job's placements are still being read,
-    /// and all placements of its job must be added in the same way.
+    /// Adds an attempt of a cancelled job. The job's placements are not read any more, so all attempts of
+    /// the job must be added in the same way.
     pub fn add_known_attempt(&mut self, machine: MachineName, attempt: CancelledAttempt, now: Duration) {
         let CancelledAttempt { task, cancelled_at, .. } = &attempt;
         let job = CancelledJob { cancelled_at: *cancelled_at, placements: Placements::Known };
