Later tokens: overtaken heartbeats, holders at a failover, mixed settings

- A heartbeat that is overtaken by the reply to a direct command counts as an old copy and was answered under the base token.
The worker drops an answer under a lower token than it has seen, so that its lease was not renewed by it.
Now the machine's latest token is used (node an_overtaken_heartbeat_is_not_answered_under_a_lower_token).
- When a node learned of a new leader, its evidence of the term before was gone, and until the shards' records were renewed its workers with later tokens were sent away.
The evidence of the previous term is kept (acknowledgements later_tokens_belong_to_a_term_as_far_as_it_was_in_force).
- With sharding on the follower alone, a worker with a later token of the leader was not told who leads.

--- a/crates/plankhead-core/src/fleet/machine.rs
+++ b/crates/plankhead-core/src/fleet/machine.rs
@@ -236,6 +236,11 @@
         self.commands.forget_direct_starts();
     }
 
+    /// Returns the token of the latest answer or command, or this base token if that is higher.
+    pub fn token(&self, base: u64) -> u64 {
+        self.commands.token(base)
+    }
+
     /// Chooses the token for the answer to a heartbeat, and removes the acknowledgements from `commands`
     /// that may not be sent yet.
     pub fn choose_token(&mut self, tokens: WorkerTokens, commands: &mut Vec<WorkerCommand>) -> u64 {
--- a/crates/plankhead-core/src/holder/mod.rs
+++ b/crates/plankhead-core/src/holder/mod.rs
@@ -166,12 +166,13 @@
             return Response::Unavailable { retry_after: RETRY_AFTER };
         }
         let mut commands = self.commands_for(&heartbeat.machine, read_times, now);
-        let Some(machine) =
-            self.fleet.machines.get_mut(&heartbeat.machine).filter(|_| change != HeartbeatChange::Stale)
-        else {
-            // A late copy of an earlier heartbeat gets no commands and does not count as a sign of life.
+        let Some(machine) = self.fleet.machines.get_mut(&heartbeat.machine) else {
             return Response::Commands { token: epoch, commands: Vec::new() };
         };
+        if change == HeartbeatChange::Stale {
+            // A late copy of an earlier heartbeat gets no commands and does not count as a sign of life.
+            return Response::Commands { token: machine.token(epoch), commands: Vec::new() };
+        }
         machine.is_relayed = path.relayed;
         if machine.take_redirect(path.node_is_disconnected, self.settings.worker_lease, now) {
             return Response::Redirect { host: None };
--- a/crates/plankhead-core/src/leader/heartbeats.rs
+++ b/crates/plankhead-core/src/leader/heartbeats.rs
@@ -61,11 +61,13 @@
         let change = self.observe_machine(times, &heartbeat, false, effects);
         let base_token = self.token_for(&name);
         let mut commands = self.commands_for(now, &name, requests);
-        let Some(machine) = self.fleet.machines.get_mut(&name).filter(|_| change != HeartbeatChange::Stale)
-        else {
-            // A late copy of a heartbeat gets no commands and is no sign of life.
+        let Some(machine) = self.fleet.machines.get_mut(&name) else {
             return Response::Commands { token: base_token, commands: Vec::new() };
         };
+        if change == HeartbeatChange::Stale {
+            // A late copy of a heartbeat gets no commands and is no sign of life.
+            return Response::Commands { token: machine.token(base_token), commands: Vec::new() };
+        }
         machine.is_relayed = path.relayed;
         if !path.relayed {
             machine.heartbeat_times.last_direct_at = now;
--- a/crates/plankhead-core/src/leadership/election.rs
+++ b/crates/plankhead-core/src/leadership/election.rs
@@ -5,7 +5,7 @@
 use crate::effects::EffectSink;
 use crate::leadership::LeaderId;
 use crate::protocol::{CallError, Condition, KeyValue, KvChange, KvReply, KvRequest, LogLevel, WatchEvent};
-use crate::token_range::TermEvidence;
+use crate::token_range::ObservedTerm;
 use plankhead_reachability::handover::SUCCESSOR_HEADSTART;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -136,9 +136,9 @@
 
     /// Returns the term that another node, or an earlier term of this one, is known to hold, and the
     /// revision at which it was seen to hold it.
-    pub fn observed_term(&self) -> Option<TermEvidence> {
+    pub fn observed_term(&self) -> Option<ObservedTerm> {
         match self.key {
-            KeyState::HeldByOther { token, revision } => Some(TermEvidence { token, in_force_at: revision }),
+            KeyState::HeldByOther { token, revision } => Some(ObservedTerm { token, in_force_at: revision }),
             _ => None,
         }
     }
--- a/crates/plankhead-core/src/node/heartbeats.rs
+++ b/crates/plankhead-core/src/node/heartbeats.rs
@@ -165,7 +165,7 @@
             }
             HolderRoute::Leader => {}
         }
-        let min_token = heartbeat.token.max(self.highest_seen_token());
+        let min_token = self.term_evidence.base_of(heartbeat.token).max(self.highest_seen_token());
         match self.known_leader(now, min_token) {
             Some(leader) => {
                 let target = RedirectTarget { host: leader.host, token: leader.token };
--- a/crates/plankhead-core/src/node/tokens.rs
+++ b/crates/plankhead-core/src/node/tokens.rs
@@ -29,7 +29,7 @@
     pub(super) fn token_range(&self, heartbeat: &Heartbeat) -> TokenRange {
         let base = self.leader.as_ref().map(|leader| leader.base_token(heartbeat));
         let Some(sharding) = &self.sharding else {
-            let base = base.unwrap_or(self.term_evidence.token);
+            let base = base.unwrap_or(self.term_evidence.latest().token);
             return TokenRange::new(base, self.term_evidence.in_force_at(base));
         };
         let table = &sharding.records.table;
@@ -39,7 +39,7 @@
         let known = known.filter(|known| base.is_none_or(|base| base == known.epoch()));
         match known {
             Some(known) => sharding.records.token_range(known, self.term_evidence),
-            None => TokenRange::only(base.unwrap_or(self.term_evidence.token)),
+            None => TokenRange::only(base.unwrap_or(self.term_evidence.latest().token)),
         }
     }
 
@@ -50,7 +50,7 @@
         if self.term_evidence != before {
             self.term_check.failed = false;
         }
-        self.token_guard.record_term(self.term_evidence.in_force_at);
+        self.token_guard.record_term(self.term_evidence.latest().in_force_at);
     }
 
     /// Records the term that the election has observed.
@@ -64,8 +64,9 @@
     /// at the worker's token. Without sharding, a leader knows all tokens of its term.
     pub(super) fn awaits_term_check(&self, heartbeat: &Heartbeat) -> bool {
         let knows_all = self.leader.is_some() && self.sharding.is_none();
-        let is_checkable = self.term_evidence.token > 0 && !self.term_check.failed;
-        let is_above_term = heartbeat.token > self.term_evidence.in_force_at;
+        let term = self.term_evidence.latest();
+        let is_checkable = term.token > 0 && !self.term_check.failed;
+        let is_above_term = heartbeat.token > term.in_force_at;
         !knows_all && is_checkable && is_above_term && heartbeat.token > self.token_range(heartbeat).newest
     }
 
@@ -84,7 +85,7 @@
             return;
         }
         self.term_check.in_flight = true;
-        let token = self.term_evidence.token;
+        let token = self.term_evidence.latest().token;
         let condition = Condition { key: election::KEY.into(), mod_revision: token };
         let request = KvRequest::Txn { conditions: vec![condition], changes: Vec::new() };
         self.effects.call_kv(CallPurpose::VerifyTerm { token }, request);
--- a/crates/plankhead-core/src/shards/records.rs
+++ b/crates/plankhead-core/src/shards/records.rs
@@ -48,11 +48,7 @@
     /// is known of the leader's term.
     pub fn token_range(&self, known: &KnownRecord, term: TermEvidence) -> TokenRange {
         let epoch = known.epoch();
-        if known.record.term == term.token {
-            TokenRange::new(epoch, self.in_force_at.min(term.in_force_at))
-        } else {
-            TokenRange::only(epoch)
-        }
+        TokenRange::new(epoch, self.in_force_at.min(term.in_force_at(known.record.term)))
     }
 
     /// Returns when [`RecordWatch::tick`] is next due to make a call, or `None` if a call is in flight.
--- a/crates/plankhead-core/src/token_range.rs
+++ b/crates/plankhead-core/src/token_range.rs
@@ -5,34 +5,52 @@
 //! shard's record were still the same, and a successor's base is a later revision. So the node may use any
 //! such revision as a token, and a higher one makes the worker refuse what was sent under lower ones.
 
-/// Evidence that a leader's key was still held in the same term at a later revision of the state service.
+/// A leader's term, and a later revision of the state service at which its key was still held in this
+/// term.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TermEvidence {
+pub struct ObservedTerm {
     /// The leader's fencing token, or 0 if no term is known.
     pub token: u64,
     /// The highest revision at which the term is known to have been in force.
     pub in_force_at: u64,
 }
 
+/// Evidence of the latest two terms. Holders go on under the earlier one until their shards' records are
+/// renewed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TermEvidence {
+    latest: ObservedTerm,
+    previous: ObservedTerm,
+}
+
 impl TermEvidence {
+    /// Returns the latest known term.
+    pub fn latest(&self) -> ObservedTerm {
+        self.latest
+    }
+
     /// Records that the term with this token was in force at a revision. Ignores terms before the latest
     /// known one.
     pub fn record(&mut self, token: u64, revision: u64) {
-        if token > self.token {
-            *self = Self { token, in_force_at: token };
+        if token > self.latest.token {
+            self.previous = self.latest;
+            self.latest = ObservedTerm { token, in_force_at: token };
         }
-        if token == self.token {
-            self.in_force_at = self.in_force_at.max(revision);
+        if token == self.latest.token {
+            self.latest.in_force_at = self.latest.in_force_at.max(revision);
         }
     }
 
     /// Returns the highest revision at which the term with this token is known to have been in force.
     pub fn in_force_at(&self, token: u64) -> u64 {
-        if token == self.token {
-            self.in_force_at
-        } else {
-            token
-        }
+        let terms = [self.latest, self.previous];
+        terms.iter().find(|term| term.token == token).map_or(token, |term| term.in_force_at)
+    }
+
+    /// Returns the token of the latest term for a token that the term covers, and any other token
+    /// unchanged.
+    pub fn base_of(&self, token: u64) -> u64 {
+        TokenRange::new(self.latest.token, self.latest.in_force_at).base_of(token)
     }
 }
 
--- a/crates/plankhead-core/tests/acknowledgements.rs
+++ b/crates/plankhead-core/tests/acknowledgements.rs
@@ -5,7 +5,7 @@
 use plankhead_core::fleet::{AcknowledgementWait, Fleet, Machine};
 use plankhead_core::jobs::job::JobId;
 use plankhead_core::protocol::{CommandReply, Heartbeat, TaskId, WorkerCommand};
-use plankhead_core::token_range::{TermEvidence, TokenRange, WorkerTokens};
+use plankhead_core::token_range::{ObservedTerm, TermEvidence, TokenRange, WorkerTokens};
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(1000);
@@ -122,7 +122,9 @@
     assert_eq!((term.in_force_at(40), term.in_force_at(30)), (55, 30));
     term.record(60, 61);
     term.record(40, 70);
-    assert_eq!(term, TermEvidence { token: 60, in_force_at: 61 }, "an earlier term is over");
+    assert_eq!(term.latest(), ObservedTerm { token: 60, in_force_at: 61 }, "an earlier term is over");
+    assert_eq!(term.in_force_at(40), 55, "what was known of the previous term remains true");
+    assert_eq!([55, 60, 61, 62].map(|token| term.base_of(token)), [55, 60, 60, 62]);
     let range = TokenRange::new(40, 55);
     assert_eq!([39, 40, 47, 55, 56].map(|token| range.base_of(token)), [39, 40, 40, 40, 56]);
     assert_eq!(TokenRange::new(40, 30), TokenRange::only(40));
--- a/crates/plankhead-core/tests/node.rs
+++ b/crates/plankhead-core/tests/node.rs
@@ -679,6 +679,29 @@
     assert_eq!(commands, [WorkerCommand::Acknowledge { task, attempt: 1 }]);
 }
 
+/// A worker drops an answer under a lower token than it has seen, and its lease would run out. The reply to a
+/// direct command may have overtaken the heartbeat.
+#[test]
+fn an_overtaken_heartbeat_is_not_answered_under_a_lower_token() {
+    let mut harness = NodeHarness::new();
+    harness.elect(41);
+    harness.load();
+    harness.send_heartbeat(1, 7);
+    let mut ended = heartbeat(3, 41);
+    let status = TaskStatus::Exited(ExitReason::Completed);
+    ended.tasks = [ReportedTask { task: TaskId { job: id(), index: 0 }, attempt: 1, status }].into();
+    harness.send(|request| Event::Heartbeat { request, heartbeat: ended.clone(), relayed: false });
+    harness.run_without_events(ms(300));
+    ended.sequence = 4;
+    let raising =
+        harness.send(|request| Event::Heartbeat { request, heartbeat: ended.clone(), relayed: false });
+    let (token, _) = answer(&harness, raising);
+    assert!(token > 41);
+    ended.sequence = 2;
+    let overtaken = harness.send(|request| Event::Heartbeat { request, heartbeat: ended, relayed: false });
+    assert_eq!(answer(&harness, overtaken), (token, &[][..]));
+}
+
 /// A worker may know a later token of the leader than a follower has seen in force.
 #[test]
 fn a_follower_asks_whether_the_term_covers_a_workers_token() {
