--- a/crates/plankhead-core/src/effects.rs
+++ b/crates/plankhead-core/src/effects.rs
@@ -49,6 +49,13 @@
         incarnation: u64,
         commands: Vec<WorkerCommand>,
     ) {
+        let starts = commands.iter().filter(|command| matches!(command, WorkerCommand::Run { .. })).count();
+        if !commands.is_empty() {
+            let kills = commands.len() - starts;
+            let text =
+                format!("commands sent: address={address} token={token} starts={starts} kills={kills}");
+            self.log(LogLevel::Debug, text);
+        }
         let call = self.call(purpose);
         self.queued.push(Effect::SendCommands { call, address, token, incarnation, commands });
     }
--- a/crates/plankhead-core/src/node/heartbeats.rs
+++ b/crates/plankhead-core/src/node/heartbeats.rs
@@ -5,7 +5,7 @@
 use crate::effects::StepTime;
 use crate::holder::ShardEpoch;
 use crate::leader::LeaderRoute;
-use crate::protocol::{Heartbeat, HeartbeatPath, MachineName, RequestId, Response};
+use crate::protocol::{Heartbeat, HeartbeatPath, LogLevel, MachineName, RequestId, Response, WorkerCommand};
 use crate::token_range::WorkerTokens;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -101,7 +101,23 @@
             self.deferred_heartbeats.push(DeferredHeartbeat { request, heartbeat, relayed, deadline });
             return;
         }
+        self.answer_heartbeat(times, request, heartbeat, relayed);
+    }
+
+    /// Answers a heartbeat, and logs the ends that the answer acknowledges.
+    fn answer_heartbeat(&mut self, times: StepTime, request: RequestId, heartbeat: Heartbeat, relayed: bool) {
+        let (machine, seen) = (heartbeat.machine.clone(), heartbeat.token);
         let response = self.handle_heartbeat(times, heartbeat, relayed);
+        if let Response::Commands { token, commands } = &response {
+            let is_acknowledgement =
+                |command: &&WorkerCommand| matches!(command, WorkerCommand::Acknowledge { .. });
+            let ends = commands.iter().filter(is_acknowledgement).count();
+            if ends > 0 {
+                let text =
+                    format!("ends acknowledged: machine={machine} ends={ends} token={token} seen={seen}");
+                self.effects.log(LogLevel::Debug, text);
+            }
+        }
         self.effects.respond(request, response);
     }
 
@@ -247,8 +263,7 @@
         }
         self.deferred_heartbeats = waiting;
         for DeferredHeartbeat { request, heartbeat, relayed, .. } in due {
-            let response = self.handle_heartbeat(times, heartbeat, relayed);
-            self.effects.respond(request, response);
+            self.answer_heartbeat(times, request, heartbeat, relayed);
         }
     }
 }
--- a/crates/plankhead-core/tests/world/mod.rs
+++ b/crates/plankhead-core/tests/world/mod.rs
@@ -113,8 +113,12 @@
     acknowledged: BTreeSet<(MachineName, u64, TaskId, u64)>,
     /// The number of starts of attempts that had been acknowledged on the same machine.
     pub acknowledged_restarts: u32,
-    /// The number of copies of direct commands that reached their workers.
+    /// The number of copies of direct commands that workers carried out.
     pub repeated_commands: u32,
+    /// The number of copies of direct commands that were planned.
+    pub planned_repeats: u32,
+    /// The number of these copies with several commands.
+    pub planned_repeated_batches: u32,
     /// Whether calls stop being lost, slow, delayed or duplicated once the last planned fault is
     /// over.
     pub stop_call_faults: bool,
@@ -228,6 +232,8 @@
             acknowledged: BTreeSet::new(),
             acknowledged_restarts: 0,
             repeated_commands: 0,
+            planned_repeats: 0,
+            planned_repeated_batches: 0,
             zone_cut_until: BTreeMap::new(),
             lists_refused_until: Duration::ZERO,
             stop_call_faults: false,
