--- a/crates/plankhead-standins/src/bin/shard_move_faults.rs
+++ b/crates/plankhead-standins/src/bin/shard_move_faults.rs
@@ -19,8 +19,8 @@
     let args = CommandLine::<ShardMoveFaultArgs>::parse();
     let outcome = shard_move_faults::run(&args.load, &args.program).await?;
     println!(
-        "{} moves, {} kills, {} pauses; {}",
-        outcome.moves, outcome.kills, outcome.pauses, outcome.verdict
+        "{} moves, {} kills, {} pauses, {} repeated commands; {}",
+        outcome.moves, outcome.kills, outcome.pauses, outcome.repeated_commands, outcome.verdict
     );
     Ok(outcome.verdict.report_faults())
 }
