--- a/crates/plankhead-standins/src/workers.rs
+++ b/crates/plankhead-standins/src/workers.rs
@@ -123,6 +123,8 @@
     /// The sequence number of the latest heartbeat.
     sequence: u64,
     token: u64,
+    /// When a higher token last counted as a change.
+    token_changed_at: Option<Instant>,
     /// The number of past sessions. A session ends when the lease expires.
     expired_sessions: u64,
     /// The time at which the latest heartbeat with a valid response was sent.
@@ -309,17 +311,21 @@
             inner.lease_renewed_at = Some(sent_at);
         }
         drop(inner);
-        self.execute_commands(body, workers);
+        if self.execute_commands(body, workers) {
+            self.changed.notify_one();
+        }
     }
 
-    fn execute_commands(&self, body: &Value, workers: &Workers) {
+    /// Carries out the commands, unless the token or the session does not match. Returns whether the worker
+    /// has changed, so that it sends its next heartbeat early.
+    fn execute_commands(&self, body: &Value, workers: &Workers) -> bool {
         let mut inner = self.inner();
         let token = body["baton"].as_u64().unwrap_or_default();
         let session = body["shift"].as_u64().unwrap_or(1 + inner.expired_sessions);
         if token < inner.token || session != 1 + inner.expired_sessions {
-            return;
+            return false;
         }
-        inner.token = token;
+        let token_changed = inner.raise_token(token, workers.lease_duration / 2);
         for command in body["orders"].as_array().into_iter().flatten() {
             let task = command["piece"].as_str().unwrap_or_default().to_owned();
             let attempt_key = (task, command["try"].as_u64().unwrap_or_default());
@@ -352,10 +358,24 @@
                 }
             }
         }
+        token_changed || body["orders"].as_array().is_some_and(|commands| !commands.is_empty())
     }
 }
 
 impl Inner {
+    /// Records a token that is not lower than the present one. Returns whether it counts as a change, which
+    /// a higher token does once in `interval` at most.
+    fn raise_token(&mut self, token: u64, interval: Duration) -> bool {
+        let now = Instant::now();
+        let is_due = self.token_changed_at.is_none_or(|at| now.saturating_duration_since(at) > interval);
+        let counts = token > self.token && is_due;
+        if counts {
+            self.token_changed_at = Some(now);
+        }
+        self.token = token;
+        counts
+    }
+
     fn next_change(&self) -> Option<Instant> {
         let change_time = |state: &TaskState| match state {
             TaskState::Fetching(at) | TaskState::Running(at) | TaskState::Failing(at) => Some(*at),
